Add the build, the design page and the core value types

The core module holds the clock, the closed table of error kinds, identifiers, checked INI settings and protection templates. The protocol and policy modules hold the interfaces that the other modules are written against.

--- /dev/null
+++ b/sequoianotch-core/src/main/java/org/sequoianotch/error/ErrorKind.java
@@ -0,0 +1,131 @@
+package org.sequoianotch.error;
+
+import java.util.Locale;
+import java.util.Optional;
+
+/**
+ * The closed list of error kinds, with the answer that each leads to.
+ *
+ * <p>A kind fixes the HTTP status, the outcome that the caller is told, the wait before a repeat makes sense, and one
+ * plain sentence. {@code docs/operations.md} documents each kind for the on-call engineer.
+ */
+public enum ErrorKind {
+    /** The request is malformed. */
+    BAD_REQUEST(400, Outcome.NOT_RUN, 0, "The request is malformed."),
+    /** No template names the service. */
+    UNKNOWN_SERVICE(404, Outcome.NOT_RUN, 0, "No protection template names this service."),
+    /** The route needs an idempotency key. */
+    KEY_REQUIRED(400, Outcome.NOT_RUN, 0, "This route needs an Idempotency-Key header."),
+    /** The idempotency key named a different request before. */
+    KEY_REUSED(422, Outcome.NOT_RUN, 0, "The idempotency key was used for a different request before."),
+    /** Another attempt with the same key is running. */
+    KEY_IN_PROGRESS(409, Outcome.UNKNOWN, 1_000, "Another attempt with this idempotency key is still running."),
+    /** An earlier attempt with the same key may have run. */
+    KEY_IN_DOUBT(409, Outcome.UNKNOWN, 0, "An earlier attempt with this idempotency key may have run."),
+    /** The ledger of the key's home data centre has no majority in reach. */
+    LEDGER_UNREACHABLE(
+            503, Outcome.UNKNOWN, 2_000, "The ledger that knows whether this idempotency key ran is out of reach."),
+    /** The request was shed. */
+    OVERLOADED(503, Outcome.NOT_RUN, 1_000, "The service is overloaded and more important requests go first."),
+    /** The node or the instance is leaving. */
+    DRAINING(503, Outcome.NOT_RUN, 1_000, "The instance is leaving and takes no new requests."),
+    /** No serving instance is in reach. */
+    NO_INSTANCE(503, Outcome.NOT_RUN, 2_000, "No serving instance of this service is in reach."),
+    /** Every attempt was refused and no retry is left. */
+    RETRIES_EXHAUSTED(503, Outcome.NOT_RUN, 2_000, "Every attempt was refused and no retry is left."),
+    /** The deadline passed before anything was sent. */
+    DEADLINE_BEFORE_RUN(504, Outcome.NOT_RUN, 0, "The deadline passed before the request was sent."),
+    /** The deadline passed after the request was sent. */
+    DEADLINE_IN_DOUBT(504, Outcome.UNKNOWN, 0, "The deadline passed after the request was sent."),
+    /** A connection broke after the request was sent. */
+    CONNECTION_LOST(502, Outcome.UNKNOWN, 0, "The connection broke after the request was sent."),
+    /** The backend server's answer ended early. */
+    BACKEND_CUT_ANSWER(502, Outcome.UNKNOWN, 0, "The backend server's answer ended early."),
+    /** The caller's body ended early after a part of it was passed on. */
+    BODY_INCOMPLETE(400, Outcome.UNKNOWN, 0, "The request body ended early."),
+    /** The caller closed its connection; recorded only, since nobody is left to read an answer. */
+    CALLER_GONE(499, Outcome.UNKNOWN, 0, "The caller closed its connection."),
+    /** A defect of this program. */
+    INTERNAL(500, Outcome.UNKNOWN, 0, "The node failed on an internal error.");
+
+    private final int status;
+    private final Outcome outcome;
+    private final long retryAfterMs;
+    private final String sentence;
+
+    ErrorKind(int status, Outcome outcome, long retryAfterMs, String sentence) {
+        this.status = status;
+        this.outcome = outcome;
+        this.retryAfterMs = retryAfterMs;
+        this.sentence = sentence;
+    }
+
+    /**
+     * Finds a kind by its code.
+     *
+     * @param code the code, such as {@code overloaded}; not null
+     * @return the kind, or empty if there is none of that code
+     */
+    public static Optional<ErrorKind> ofCode(String code) {
+        for (ErrorKind kind : values()) {
+            if (kind.code().equals(code)) {
+                return Optional.of(kind);
+            }
+        }
+        return Optional.empty();
+    }
+
+    /**
+     * Returns the name used in answers, logs and metrics.
+     *
+     * @return the code in lower case, never null
+     */
+    public String code() {
+        return name().toLowerCase(Locale.ROOT);
+    }
+
+    /**
+     * Returns the HTTP status of the answer.
+     *
+     * @return a status from 400 to 599
+     */
+    public int status() {
+        return status;
+    }
+
+    /**
+     * Returns what the caller is told about whether the request ran.
+     *
+     * @return the outcome, never null
+     */
+    public Outcome outcome() {
+        return outcome;
+    }
+
+    /**
+     * Returns how long the caller should wait before it repeats the request.
+     *
+     * @return the wait in milliseconds; zero if waiting does not help
+     */
+    public long retryAfterMs() {
+        return retryAfterMs;
+    }
+
+    /**
+     * Returns the sentence that explains the kind to a caller.
+     *
+     * @return one sentence, never null
+     */
+    public String sentence() {
+        return sentence;
+    }
+
+    /**
+     * Tells whether this kind proves that the request did not run, so that it may be sent again.
+     *
+     * @return true if no backend server ran the request
+     */
+    public boolean provesNotRun() {
+        return outcome == Outcome.NOT_RUN;
+    }
+}
--- /dev/null
+++ b/sequoianotch-core/src/main/java/org/sequoianotch/error/Outcome.java
@@ -0,0 +1,26 @@
+package org.sequoianotch.error;
+
+/** What a caller may conclude about whether its request ran. */
+public enum Outcome {
+    /** A backend server ran the request and answered in full. */
+    COMPLETED("completed"),
+    /** It is proved that no backend server ran the request. */
+    NOT_RUN("not-run"),
+    /** The request may or may not have run. */
+    UNKNOWN("unknown");
+
+    private final String headerValue;
+
+    Outcome(String headerValue) {
+        this.headerValue = headerValue;
+    }
+
+    /**
+     * Returns the value of the {@code Sequoianotch-Outcome} header.
+     *
+     * @return the header value, never null
+     */
+    public String headerValue() {
+        return headerValue;
+    }
+}
--- /dev/null
+++ b/sequoianotch-core/src/main/java/org/sequoianotch/model/OrganisationName.java
@@ -0,0 +1,36 @@
+package org.sequoianotch.model;
+
+/**
+ * Name of an organisation that runs services on the deployment.
+ *
+ * <p>This type is immutable and ordered by its text.
+ *
+ * @param name 1 to 63 lower-case letters, digits and hyphens; not null
+ */
+public record OrganisationName(String name) implements Comparable<OrganisationName> {
+    /** Checks the name. */
+    public OrganisationName {
+        Names.check("organisation", name);
+    }
+
+    /**
+     * Creates a name.
+     *
+     * @param name the text; not null
+     * @return the name, never null
+     * @throws IllegalArgumentException if the text is not a valid name
+     */
+    public static OrganisationName of(String name) {
+        return new OrganisationName(name);
+    }
+
+    @Override
+    public int compareTo(OrganisationName other) {
+        return name.compareTo(other.name);
+    }
+
+    @Override
+    public String toString() {
+        return name;
+    }
+}
--- /dev/null
+++ b/sequoianotch-core/src/main/java/org/sequoianotch/model/Region.java
@@ -0,0 +1,36 @@
+package org.sequoianotch.model;
+
+/**
+ * Name of a region, which holds one or more data centres.
+ *
+ * <p>This type is immutable and ordered by its text.
+ *
+ * @param name 1 to 63 lower-case letters, digits and hyphens; not null
+ */
+public record Region(String name) implements Comparable<Region> {
+    /** Checks the name. */
+    public Region {
+        Names.check("region", name);
+    }
+
+    /**
+     * Creates a name.
+     *
+     * @param name the text; not null
+     * @return the name, never null
+     * @throws IllegalArgumentException if the text is not a valid name
+     */
+    public static Region of(String name) {
+        return new Region(name);
+    }
+
+    @Override
+    public int compareTo(Region other) {
+        return name.compareTo(other.name);
+    }
+
+    @Override
+    public String toString() {
+        return name;
+    }
+}
--- /dev/null
+++ b/sequoianotch-core/src/main/java/org/sequoianotch/model/RequestId.java
@@ -0,0 +1,58 @@
+package org.sequoianotch.model;
+
+import java.util.HexFormat;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+
+/**
+ * Identifier of one request and of its whole call chain. It equals the W3C trace id.
+ *
+ * <p>This type is immutable.
+ *
+ * @param high the first 8 bytes
+ * @param low the last 8 bytes; the two are not both zero
+ */
+public record RequestId(long high, long low) {
+    private static final int HEX_LENGTH = 32;
+
+    /** Checks that the identifier is not all zero, which W3C Trace Context forbids. */
+    public RequestId {
+        if (high == 0 && low == 0) {
+            throw new IllegalArgumentException("A request id must not be all zero");
+        }
+    }
+
+    /**
+     * Creates a random identifier.
+     *
+     * @param random source of randomness; not null
+     * @return the identifier, never null
+     */
+    public static RequestId random(RandomGenerator random) {
+        return new RequestId(random.nextLong(), random.nextLong() | 1);
+    }
+
+    /**
+     * Parses the 32 hexadecimal digits of an identifier.
+     *
+     * @param text the text; not null
+     * @return the identifier, or empty if the text is not a valid one
+     */
+    public static Optional<RequestId> parse(String text) {
+        if (text.length() != HEX_LENGTH) {
+            return Optional.empty();
+        }
+        try {
+            long high = HexFormat.fromHexDigitsToLong(text, 0, HEX_LENGTH / 2);
+            long low = HexFormat.fromHexDigitsToLong(text, HEX_LENGTH / 2, HEX_LENGTH);
+            return high == 0 && low == 0 ? Optional.empty() : Optional.of(new RequestId(high, low));
+        } catch (NumberFormatException e) {
+            return Optional.empty();
+        }
+    }
+
+    @Override
+    public String toString() {
+        return HexFormat.of().toHexDigits(high) + HexFormat.of().toHexDigits(low);
+    }
+}
--- /dev/null
+++ b/sequoianotch-core/src/main/java/org/sequoianotch/model/ServiceName.java
@@ -0,0 +1,36 @@
+package org.sequoianotch.model;
+
+/**
+ * Name of a service, unique in the deployment.
+ *
+ * <p>This type is immutable and ordered by its text.
+ *
+ * @param name 1 to 63 lower-case letters, digits and hyphens; not null
+ */
+public record ServiceName(String name) implements Comparable<ServiceName> {
+    /** Checks the name. */
+    public ServiceName {
+        Names.check("service", name);
+    }
+
+    /**
+     * Creates a name.
+     *
+     * @param name the text; not null
+     * @return the name, never null
+     * @throws IllegalArgumentException if the text is not a valid name
+     */
+    public static ServiceName of(String name) {
+        return new ServiceName(name);
+    }
+
+    @Override
+    public int compareTo(ServiceName other) {
+        return name.compareTo(other.name);
+    }
+
+    @Override
+    public String toString() {
+        return name;
+    }
+}
--- /dev/null
+++ b/sequoianotch-core/src/main/java/org/sequoianotch/settings/NodeSetting.java
@@ -0,0 +1,441 @@
+package org.sequoianotch.settings;
+
+import java.util.Arrays;
+import java.util.Optional;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Every setting of a node, with its place in the INI file, kind, default and range.
+ *
+ * <p>{@code docs/settings.md} lists the same; a test holds the two together.
+ */
+public enum NodeSetting {
+    /** Name of the host. */
+    HOST("node", "host", ValueKind.NAME, null, 0, 0, "Name of the host, unique in the deployment."),
+    /** Data centre of the host. */
+    DATA_CENTRE("node", "data_centre", ValueKind.NAME, null, 0, 0, "Data centre of the host."),
+    /** Region of the host. */
+    REGION("node", "region", ValueKind.NAME, null, 0, 0, "Region of the data centre."),
+    /** Protective or naive decisions. */
+    MODE(
+            "node",
+            "mode",
+            ValueKind.NAME,
+            "protective",
+            0,
+            0,
+            "protective, or naive for the baseline of measurements: first come first served, three retries at each"
+                    + " hop, random choice."),
+    /** Limit for a graceful stop. */
+    SHUTDOWN_TIMEOUT_MS(
+            "node",
+            "shutdown_timeout_ms",
+            ValueKind.DURATION_MS,
+            "30000",
+            0,
+            600_000,
+            "How long a graceful stop waits for requests in flight."),
+    /** Shared secret of the deployment. */
+    DEPLOYMENT_KEY(
+            "deployment",
+            "key",
+            ValueKind.TEXT,
+            null,
+            16,
+            256,
+            "Secret shared by all nodes; peers that do not hold it are refused."),
+    /** All data centres. */
+    DATA_CENTRES(
+            "deployment",
+            "data_centres",
+            ValueKind.NAME_LIST,
+            null,
+            0,
+            0,
+            "All data centres of the deployment. The home of idempotency keys depends on it, so it must be the same on"
+                    + " all nodes."),
+    /** Listener for callers. */
+    CALLER_LISTEN(
+            "caller", "listen", ValueKind.ADDRESS, "127.0.0.1:8080", 0, 0, "Address of the listener for callers."),
+    /** Limit for the head of a request. */
+    CALLER_MAX_HEADER_BYTES(
+            "caller",
+            "max_header_bytes",
+            ValueKind.SIZE_BYTES,
+            "16384",
+            1_024,
+            131_072,
+            "Largest head of a request, on the caller and backend listeners."),
+    /** Connection limit of the caller listener. */
+    CALLER_MAX_CONNECTIONS(
+            "caller",
+            "max_connections",
+            ValueKind.INTEGER,
+            "1024",
+            1,
+            100_000,
+            "Open caller connections; more are closed at once."),
+    /** Idle limit of a caller connection. */
+    CALLER_IDLE_TIMEOUT_MS(
+            "caller",
+            "idle_timeout_ms",
+            ValueKind.DURATION_MS,
+            "60000",
+            1_000,
+            3_600_000,
+            "A caller connection on which nothing arrives for this long is closed."),
+    /** Listener for the backend server. */
+    BACKEND_LISTEN(
+            "backend",
+            "listen",
+            ValueKind.ADDRESS,
+            "127.0.0.1:8081",
+            0,
+            0,
+            "Address of the listener for sub-calls and announcements of the host's backend server; must be loopback."),
+    /** Address of the backend server. */
+    BACKEND_HOST_ADDRESS(
+            "backend",
+            "host_address",
+            ValueKind.TEXT,
+            "127.0.0.1",
+            1,
+            64,
+            "IP number at which the host's backend server listens; it announces the port itself."),
+    /** Lease of an announcement. */
+    BACKEND_LEASE_MS(
+            "backend",
+            "lease_ms",
+            ValueKind.DURATION_MS,
+            "5000",
+            500,
+            600_000,
+            "How long an announcement of the backend server holds unless renewed."),
+    /** Listener for other nodes. */
+    PEER_LISTEN(
+            "peer",
+            "listen",
+            ValueKind.ADDRESS,
+            "127.0.0.1:8082",
+            0,
+            0,
+            "Address of the listener for other nodes: TCP for calls, UDP on the same port for gossip."),
+    /** Advertised address, if a relay stands in between. */
+    PEER_ADVERTISE(
+            "peer",
+            "advertise",
+            ValueKind.ADDRESS,
+            "",
+            0,
+            0,
+            "Address under which other nodes reach the peer listener, if it differs from listen."),
+    /** Heartbeat interval. */
+    PEER_HEARTBEAT_MS(
+            "peer", "heartbeat_ms", ValueKind.DURATION_MS, "1000", 50, 60_000, "Interval of heartbeats on each link."),
+    /** Silence after which a link is dead. */
+    PEER_SILENCE_TIMEOUT_MS(
+            "peer",
+            "silence_timeout_ms",
+            ValueKind.DURATION_MS,
+            "3000",
+            100,
+            600_000,
+            "A link on which nothing arrives for this long is closed and replaced."),
+    /** Limit for connecting. */
+    PEER_CONNECT_TIMEOUT_MS(
+            "peer",
+            "connect_timeout_ms",
+            ValueKind.DURATION_MS,
+            "500",
+            10,
+            60_000,
+            "Limit for connecting to a node or a backend server."),
+    /** TLS certificate. */
+    PEER_TLS_CERTIFICATE(
+            "peer",
+            "tls_certificate",
+            ValueKind.TEXT,
+            "",
+            0,
+            4_096,
+            "PEM file of this node's certificate; empty for links without TLS."),
+    /** TLS private key. */
+    PEER_TLS_KEY("peer", "tls_key", ValueKind.TEXT, "", 0, 4_096, "PEM file of this node's private key."),
+    /** TLS trust. */
+    PEER_TLS_TRUST(
+            "peer",
+            "tls_trust",
+            ValueKind.TEXT,
+            "",
+            0,
+            4_096,
+            "PEM file of the certificates that peers must chain to."),
+    /** Admin listener. */
+    ADMIN_LISTEN(
+            "admin",
+            "listen",
+            ValueKind.ADDRESS,
+            "127.0.0.1:8083",
+            0,
+            0,
+            "Address of the listener for operators and metrics."),
+    /** Operators' keys. */
+    ADMIN_KEYS(
+            "admin",
+            "operator_keys",
+            ValueKind.TEXT,
+            "",
+            0,
+            4_096,
+            "Keys of operators as name=key pairs separated by commas; without one, commands that change something are"
+                    + " refused."),
+    /** Seed addresses. */
+    MEMBERSHIP_SEEDS(
+            "membership",
+            "seeds",
+            ValueKind.ADDRESS_LIST,
+            "",
+            0,
+            0,
+            "Peer addresses of a few nodes, at least one in each data centre."),
+    /** Probe interval. */
+    MEMBERSHIP_PROBE_INTERVAL_MS(
+            "membership",
+            "probe_interval_ms",
+            ValueKind.DURATION_MS,
+            "1000",
+            20,
+            60_000,
+            "Interval of failure detection probes."),
+    /** Suspicion. */
+    MEMBERSHIP_SUSPICION_TIMEOUT_MS(
+            "membership",
+            "suspicion_timeout_ms",
+            ValueKind.DURATION_MS,
+            "3000",
+            50,
+            600_000,
+            "How long a suspected member may refute before it is declared failed."),
+    /** Gossip interval. */
+    MEMBERSHIP_GOSSIP_INTERVAL_MS(
+            "membership",
+            "gossip_interval_ms",
+            ValueKind.DURATION_MS,
+            "200",
+            10,
+            60_000,
+            "Interval of gossip rounds while there is news."),
+    /** Exchange between data centres. */
+    MEMBERSHIP_EXCHANGE_INTERVAL_MS(
+            "membership",
+            "exchange_interval_ms",
+            ValueKind.DURATION_MS,
+            "2000",
+            50,
+            600_000,
+            "Interval of exchanges with nodes of other data centres."),
+    /** Ledger hosts. */
+    LEDGER_HOSTS(
+            "ledger",
+            "hosts",
+            ValueKind.NAMED_ADDRESS_LIST,
+            "",
+            0,
+            0,
+            "Ledger hosts of all data centres as data_centre=peer_address pairs; the same on all nodes."),
+    /** Ledger folder. */
+    LEDGER_DATA_FOLDER(
+            "ledger",
+            "data_folder",
+            ValueKind.TEXT,
+            "",
+            0,
+            4_096,
+            "Folder for claims on a ledger host with a disk; empty keeps them in memory."),
+    /** Ledger epoch. */
+    LEDGER_EPOCH(
+            "ledger",
+            "epoch",
+            ValueKind.INTEGER,
+            "1",
+            1,
+            1_000_000,
+            "Epoch of this data centre's ledger; raised by an operator after the ledger lost its claims."),
+    /** Retention of claims. */
+    LEDGER_RETENTION_MS(
+            "ledger",
+            "retention_ms",
+            ValueKind.DURATION_MS,
+            "86400000",
+            1_000,
+            604_800_000,
+            "How long claims and kept answers are remembered."),
+    /** Control hosts. */
+    CONTROL_HOSTS(
+            "control",
+            "hosts",
+            ValueKind.NAMED_ADDRESS_LIST,
+            "",
+            0,
+            0,
+            "Control hosts as host=peer_address pairs: none, or 1, 3, 5 or 7."),
+    /** Control data folder. */
+    CONTROL_DATA_FOLDER(
+            "control",
+            "data_folder",
+            ValueKind.TEXT,
+            "",
+            0,
+            4_096,
+            "Folder of the replicated log; set on control hosts only."),
+    /** Election timeout. */
+    CONTROL_ELECTION_TIMEOUT_MS(
+            "control",
+            "election_timeout_ms",
+            ValueKind.DURATION_MS,
+            "1000",
+            50,
+            60_000,
+            "Shortest time without a leader before a control host stands for election; the longest is twice that."),
+    /** Template files. */
+    TEMPLATE_FILES(
+            "templates",
+            "files",
+            ValueKind.TEXT,
+            "",
+            0,
+            65_536,
+            "Template files separated by commas, in force until the control group offers a higher revision."),
+    /** Explanations kept. */
+    EXPLAIN_MAX_REQUESTS(
+            "explain",
+            "max_requests",
+            ValueKind.INTEGER,
+            "2000",
+            10,
+            1_000_000,
+            "Requests whose timeline a node keeps in memory."),
+    /** Slow requests. */
+    EXPLAIN_SLOW_MS(
+            "explain",
+            "slow_ms",
+            ValueKind.DURATION_MS,
+            "500",
+            1,
+            600_000,
+            "A request that takes longer counts as slow and is kept longer."),
+    /** Price of volume. */
+    ROUTING_CROSS_REGION_PRICE_MS_PER_KIB(
+            "routing",
+            "cross_region_price_ms_per_kib",
+            ValueKind.INTEGER,
+            "1",
+            0,
+            1_000,
+            "Price of sending one KiB to another region, expressed as milliseconds of latency."),
+    /** Log level. */
+    LOG_LEVEL("log", "level", ValueKind.NAME, "info", 0, 0, "error, warn, info or debug."),
+    /** Log layout. */
+    LOG_LAYOUT("log", "layout", ValueKind.NAME, "text", 0, 0, "text or json.");
+
+    private final String section;
+    private final String key;
+    private final ValueKind kind;
+    private final @Nullable String defaultText;
+    private final long min;
+    private final long max;
+    private final String description;
+
+    NodeSetting(
+            String section,
+            String key,
+            ValueKind kind,
+            @Nullable String defaultText,
+            long min,
+            long max,
+            String description) {
+        this.section = section;
+        this.key = key;
+        this.kind = kind;
+        this.defaultText = defaultText;
+        this.min = min;
+        this.max = max;
+        this.description = description;
+    }
+
+    /**
+     * Finds a setting by its place.
+     *
+     * @param section the section; not null
+     * @param key the key; not null
+     * @return the setting, or empty if there is none at that place
+     */
+    public static Optional<NodeSetting> find(String section, String key) {
+        return Arrays.stream(values())
+                .filter(setting -> setting.section.equals(section) && setting.key.equals(key))
+                .findFirst();
+    }
+
+    /**
+     * Returns the section of the INI file.
+     *
+     * @return the section, never null
+     */
+    public String section() {
+        return section;
+    }
+
+    /**
+     * Returns the key within the section.
+     *
+     * @return the key, never null
+     */
+    public String key() {
+        return key;
+    }
+
+    /**
+     * Returns the kind of the value.
+     *
+     * @return the kind, never null
+     */
+    public ValueKind kind() {
+        return kind;
+    }
+
+    /**
+     * Returns the value in force when the file does not give one.
+     *
+     * @return the default, or empty if the file must give a value
+     */
+    public Optional<String> defaultText() {
+        return Optional.ofNullable(defaultText);
+    }
+
+    /**
+     * Returns what the setting is for.
+     *
+     * @return one sentence, never null
+     */
+    public String description() {
+        return description;
+    }
+
+    /**
+     * Returns what is allowed, with the range.
+     *
+     * @return a phrase, never null
+     */
+    public String allowed() {
+        String range = max > 0 ? " from " + min + " to " + max : "";
+        String unit = kind == ValueKind.TEXT && max > 0 ? " characters" : "";
+        return kind.description() + range + unit;
+    }
+
+    boolean accepts(String text) {
+        if (text.isEmpty() && "".equals(defaultText)) {
+            return true;
+        }
+        return kind.accepts(text, min, max);
+    }
+}
--- /dev/null
+++ b/sequoianotch-core/src/main/java/org/sequoianotch/settings/SettingsProblem.java
@@ -0,0 +1,30 @@
+package org.sequoianotch.settings;
+
+import java.util.Objects;
+
+/**
+ * One mistake in an INI file.
+ *
+ * <p>This type is immutable.
+ *
+ * @param file the file as it was named; not null
+ * @param section the section; not null, may be empty
+ * @param key the key; not null, may be empty if the whole section is wrong
+ * @param value the value found; not null, may be empty
+ * @param allowed what is allowed instead, as the end of a sentence; not null
+ */
+public record SettingsProblem(String file, String section, String key, String value, String allowed) {
+    /** Checks the components. */
+    public SettingsProblem {
+        Objects.requireNonNull(file, "file");
+        Objects.requireNonNull(section, "section");
+        Objects.requireNonNull(key, "key");
+        Objects.requireNonNull(value, "value");
+        Objects.requireNonNull(allowed, "allowed");
+    }
+
+    @Override
+    public String toString() {
+        return file + ": [" + section + "] " + key + " = \"" + value + "\": " + allowed;
+    }
+}
--- /dev/null
+++ b/sequoianotch-core/src/main/java/org/sequoianotch/settings/ValueKind.java
@@ -0,0 +1,152 @@
+package org.sequoianotch.settings;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+
+/** Kind of a setting's value, which checks it and says what is allowed. */
+public enum ValueKind {
+    /** A whole number within a range. */
+    INTEGER("a whole number") {
+        @Override
+        boolean accepts(String text, long min, long max) {
+            return withinRange(text, min, max);
+        }
+    },
+    /** A duration in milliseconds, written as a bare number. */
+    DURATION_MS("a whole number of milliseconds") {
+        @Override
+        boolean accepts(String text, long min, long max) {
+            return withinRange(text, min, max);
+        }
+    },
+    /** A size in bytes, written as a bare number. */
+    SIZE_BYTES("a whole number of bytes") {
+        @Override
+        boolean accepts(String text, long min, long max) {
+            return withinRange(text, min, max);
+        }
+    },
+    /** {@code true} or {@code false}. */
+    BOOLEAN("true or false") {
+        @Override
+        boolean accepts(String text, long min, long max) {
+            return text.equals("true") || text.equals("false");
+        }
+    },
+    /** A name of lower-case letters, digits and hyphens. */
+    NAME("1 to 63 lower-case letters, digits and hyphens") {
+        @Override
+        boolean accepts(String text, long min, long max) {
+            return text.matches("[a-z0-9][a-z0-9-]{0,62}");
+        }
+    },
+    /** Names separated by commas. */
+    NAME_LIST("names of lower-case letters, digits and hyphens, separated by commas") {
+        @Override
+        boolean accepts(String text, long min, long max) {
+            return items(text).stream().allMatch(item -> NAME.accepts(item, min, max));
+        }
+    },
+    /** An IP number and a port. */
+    ADDRESS("an IP number and a port, such as 127.0.0.1:8080") {
+        @Override
+        boolean accepts(String text, long min, long max) {
+            return parseAddress(text).isPresent();
+        }
+    },
+    /** Addresses separated by commas. */
+    ADDRESS_LIST("addresses such as 127.0.0.1:8082, separated by commas") {
+        @Override
+        boolean accepts(String text, long min, long max) {
+            return items(text).stream().allMatch(item -> parseAddress(item).isPresent());
+        }
+    },
+    /** Pairs of a name and an address separated by commas, such as {@code rennes-1=127.0.0.1:8082}. */
+    NAMED_ADDRESS_LIST("pairs such as rennes-1=127.0.0.1:8082, separated by commas") {
+        @Override
+        boolean accepts(String text, long min, long max) {
+            return items(text).stream().allMatch(ValueKind::isNamedAddress);
+        }
+    },
+    /** Free text whose length lies within the range. */
+    TEXT("text") {
+        @Override
+        boolean accepts(String text, long min, long max) {
+            return text.length() >= min && text.length() <= max;
+        }
+    };
+
+    private static final int MAX_PORT = 65_535;
+
+    private final String description;
+
+    ValueKind(String description) {
+        this.description = description;
+    }
+
+    abstract boolean accepts(String text, long min, long max);
+
+    /**
+     * Returns what values of this kind look like.
+     *
+     * @return a phrase, never null
+     */
+    public String description() {
+        return description;
+    }
+
+    /**
+     * Splits a list at its commas.
+     *
+     * @param text the list; not null
+     * @return the items without blanks around them, never null
+     */
+    public static List<String> items(String text) {
+        return Arrays.stream(text.split(","))
+                .map(String::trim)
+                .filter(item -> !item.isEmpty())
+                .toList();
+    }
+
+    /**
+     * Parses an IP number with a port. Host names are not accepted, since they would need a name service.
+     *
+     * @param text the text, such as {@code 127.0.0.1:8080} or {@code [::1]:8080}; not null
+     * @return the address, or empty if the text is not one
+     */
+    public static Optional<InetSocketAddress> parseAddress(String text) {
+        int colon = text.lastIndexOf(':');
+        if (colon <= 0) {
+            return Optional.empty();
+        }
+        String host = text.substring(0, colon).replace("[", "").replace("]", "");
+        try {
+            int port = Integer.parseInt(text.substring(colon + 1));
+            if (port < 0 || port > MAX_PORT) {
+                return Optional.empty();
+            }
+            return Optional.of(new InetSocketAddress(InetAddress.ofLiteral(host), port));
+        } catch (IllegalArgumentException e) {
+            return Optional.empty();
+        }
+    }
+
+    private static boolean isNamedAddress(String item) {
+        int equals = item.indexOf('=');
+        return equals > 0
+                && NAME.accepts(item.substring(0, equals), 0, 0)
+                && parseAddress(item.substring(equals + 1)).isPresent();
+    }
+
+    private static boolean withinRange(String text, long min, long max) {
+        try {
+            long value = Long.parseLong(text);
+            return value >= min && value <= max;
+        } catch (NumberFormatException e) {
+            return false;
+        }
+    }
+}
--- /dev/null
+++ b/sequoianotch-core/src/main/java/org/sequoianotch/template/ServiceRule.java
@@ -0,0 +1,38 @@
+package org.sequoianotch.template;
+
+import java.util.Objects;
+import org.sequoianotch.model.ServiceName;
+
+/**
+ * Limits of one service.
+ *
+ * <p>This type is immutable.
+ *
+ * @param service the service; not null
+ * @param maxInFlight most calls at one instance at once, a cap above the measured limit; at least 1
+ * @param queueLength most calls that wait at one instance; not negative
+ * @param queueTimeMs longest wait of a call at one instance, in milliseconds; not negative
+ * @param retryBudgetPercent share of first attempts that one node may add as retries; from 0 to 100
+ * @param slowStartMs time over which a cold instance reaches its full share, in milliseconds; not negative
+ */
+public record ServiceRule(
+        ServiceName service,
+        int maxInFlight,
+        int queueLength,
+        long queueTimeMs,
+        int retryBudgetPercent,
+        long slowStartMs) {
+    private static final int MAX_PERCENT = 100;
+
+    /** Checks the components. */
+    public ServiceRule {
+        Objects.requireNonNull(service, "service");
+        if (maxInFlight < 1 || queueLength < 0 || queueTimeMs < 0 || slowStartMs < 0) {
+            throw new IllegalArgumentException("A limit of service " + service + " is out of range");
+        }
+        if (retryBudgetPercent < 0 || retryBudgetPercent > MAX_PERCENT) {
+            throw new IllegalArgumentException(
+                    "retryBudgetPercent is " + retryBudgetPercent + ", but must be from 0 to 100");
+        }
+    }
+}
--- /dev/null
+++ b/sequoianotch-core/src/main/java/org/sequoianotch/template/TemplateParser.java
@@ -0,0 +1,213 @@
+package org.sequoianotch.template;
+
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Function;
+import org.jspecify.annotations.Nullable;
+import org.sequoianotch.model.Criticality;
+import org.sequoianotch.model.OrganisationName;
+import org.sequoianotch.model.ServiceName;
+import org.sequoianotch.settings.IniFile;
+import org.sequoianotch.settings.SettingsProblem;
+
+/**
+ * Reads and checks the INI text of a protection template.
+ *
+ * <p>Sections are {@code [template]}, {@code [service NAME]}, {@code [route SERVICE METHOD PATH]} and
+ * {@code [objective SERVICE CRITICALITY]}. The whole text is checked and all problems are reported together. A parser
+ * serves one text and is not thread-safe; {@link #parse} is.
+ */
+public final class TemplateParser {
+    private static final long DEFAULT_DEADLINE_MS = 2_000;
+    private static final long MAX_DEADLINE_MS = 600_000;
+    private static final int DEFAULT_RETRY_ALLOWANCE = 3;
+    private static final int MAX_RETRY_ALLOWANCE = 1_000;
+    private static final int MAX_CALLS = 100_000;
+
+    private final IniFile file;
+    private final List<SettingsProblem> problems = new ArrayList<>();
+    private final List<ServiceRule> services = new ArrayList<>();
+    private final List<RouteRule> routes = new ArrayList<>();
+    private final List<Objective> objectives = new ArrayList<>();
+    private final Set<String> usedKeys = new HashSet<>();
+    private long deadlineMs = DEFAULT_DEADLINE_MS;
+    private int retryAllowance = DEFAULT_RETRY_ALLOWANCE;
+
+    private TemplateParser(IniFile file) {
+        this.file = file;
+    }
+
+    /**
+     * Parses a template.
+     *
+     * @param name name of the file for messages; not null
+     * @param text the INI text; not null
+     * @return the template, or every problem of the text
+     */
+    public static Either<List<SettingsProblem>, ProtectionTemplate> parse(String name, String text) {
+        return IniFile.parse(name, text).flatMap(file -> new TemplateParser(file).parse());
+    }
+
+    private Either<List<SettingsProblem>, ProtectionTemplate> parse() {
+        OrganisationName organisation = parseTemplateSection();
+        file.sections().forEach((section, entries) -> {
+            String[] words = section.split("\\s+");
+            switch (words[0]) {
+                case "template" -> {}
+                case "service" -> parseService(section, words);
+                case "route" -> parseRoute(section, words);
+                case "objective" -> parseObjective(section, words);
+                default -> problem(section, "", "", "no such section; allowed are template, service, route, objective");
+            }
+        });
+        checkReferences();
+        reportUnusedKeys();
+        if (organisation == null || !problems.isEmpty()) {
+            return Either.left(List.copyOf(problems));
+        }
+        return Either.right(new ProtectionTemplate(organisation, services, routes, objectives));
+    }
+
+    private @Nullable OrganisationName parseTemplateSection() {
+        deadlineMs = number("template", "deadline_ms", DEFAULT_DEADLINE_MS, 1, MAX_DEADLINE_MS);
+        retryAllowance = (int) number("template", "retry_allowance", DEFAULT_RETRY_ALLOWANCE, 0, MAX_RETRY_ALLOWANCE);
+        String name = text("template", "organisation").orElse("");
+        try {
+            return OrganisationName.of(name);
+        } catch (IllegalArgumentException e) {
+            problem("template", "organisation", name, String.valueOf(e.getMessage()));
+            return null;
+        }
+    }
+
+    private void parseService(String section, String[] words) {
+        ServiceName service = words.length == 2 ? service(section, words[1]) : null;
+        if (service == null) {
+            problem(section, "", "", "the section name must be [service NAME]");
+            return;
+        }
+        services.add(new ServiceRule(
+                service,
+                (int) number(section, "max_in_flight", 1_000, 1, MAX_CALLS),
+                (int) number(section, "queue_length", 50, 0, MAX_CALLS),
+                number(section, "queue_time_ms", 100, 0, MAX_DEADLINE_MS),
+                (int) number(section, "retry_budget_percent", 10, 0, 100),
+                number(section, "slow_start_ms", 5_000, 0, MAX_DEADLINE_MS)));
+    }
+
+    private void parseRoute(String section, String[] words) {
+        ServiceName service = words.length == 4 ? service(section, words[1]) : null;
+        if (service == null || !words[3].startsWith("/")) {
+            problem(section, "", "", "the section name must be [route SERVICE METHOD /PATH]");
+            return;
+        }
+        Criticality criticality =
+                choice(section, "criticality", Criticality::ofCode, "critical, standard or sheddable");
+        RepeatRule repeat = choice(section, "repeat", RepeatRule::ofCode, "safe, keyed or never");
+        long routeDeadlineMs = number(section, "deadline_ms", deadlineMs, 1, MAX_DEADLINE_MS);
+        int allowance = (int) number(section, "retry_allowance", retryAllowance, 0, MAX_RETRY_ALLOWANCE);
+        if (criticality != null && repeat != null) {
+            routes.add(new RouteRule(service, words[2], words[3], criticality, repeat, routeDeadlineMs, allowance));
+        }
+    }
+
+    private void parseObjective(String section, String[] words) {
+        ServiceName service = words.length == 3 ? service(section, words[1]) : null;
+        Optional<Criticality> criticality = words.length == 3 ? Criticality.ofCode(words[2]) : Optional.empty();
+        if (service == null || criticality.isEmpty()) {
+            problem(section, "", "", "the section name must be [objective SERVICE CRITICALITY]");
+            return;
+        }
+        String goodText = text(section, "good_percent").orElse("");
+        long latencyMs = number(section, "latency_ms", 1_000, 1, MAX_DEADLINE_MS);
+        try {
+            objectives.add(new Objective(service, criticality.get(), Double.parseDouble(goodText), latencyMs));
+        } catch (IllegalArgumentException e) {
+            problem(section, "good_percent", goodText, "allowed is a number above 0 and below 100");
+        }
+    }
+
+    private void checkReferences() {
+        Set<ServiceName> known = new HashSet<>();
+        services.forEach(rule -> known.add(rule.service()));
+        routes.stream()
+                .filter(route -> !known.contains(route.service()))
+                .forEach(route -> problem(
+                        "route " + route.label(), "", "", "there is no section [service " + route.service() + "]"));
+        objectives.stream()
+                .filter(objective -> !known.contains(objective.service()))
+                .forEach(objective -> problem(
+                        "objective " + objective.service(),
+                        "",
+                        "",
+                        "there is no section [service " + objective.service() + "]"));
+        for (ServiceName service : known) {
+            boolean hasDefaultRoute = routes.stream()
+                    .anyMatch(route -> route.service().equals(service)
+                            && route.pathPrefix().equals("/")
+                            && route.method().equals(RouteRule.ANY_METHOD));
+            if (!hasDefaultRoute) {
+                problem("service " + service, "", "", "there is no section [route " + service + " * /]");
+            }
+        }
+    }
+
+    private void reportUnusedKeys() {
+        file.sections()
+                .forEach((section, entries) -> entries.forEach((key, value) -> {
+                    if (!usedKeys.contains(section + '\n' + key)) {
+                        problem(section, key, value, "no such key in this section");
+                    }
+                }));
+    }
+
+    private @Nullable ServiceName service(String section, String name) {
+        try {
+            return ServiceName.of(name);
+        } catch (IllegalArgumentException e) {
+            problem(section, "", name, String.valueOf(e.getMessage()));
+            return null;
+        }
+    }
+
+    private <T> @Nullable T choice(String section, String key, Function<String, Optional<T>> finder, String allowed) {
+        String code = text(section, key).orElse("");
+        Optional<T> found = finder.apply(code);
+        if (found.isEmpty()) {
+            problem(section, key, code, "allowed is " + allowed);
+        }
+        return found.orElse(null);
+    }
+
+    private long number(String section, String key, long defaultValue, long min, long max) {
+        Optional<String> text = text(section, key);
+        if (text.isEmpty()) {
+            return defaultValue;
+        }
+        try {
+            long value = Long.parseLong(text.get());
+            if (value >= min && value <= max) {
+                return value;
+            }
+        } catch (NumberFormatException e) {
+            // Reported below, like a number out of range.
+        }
+        problem(section, key, text.get(), "allowed is a whole number from " + min + " to " + max);
+        return defaultValue;
+    }
+
+    private Optional<String> text(String section, String key) {
+        usedKeys.add(section + '\n' + key);
+        Map<String, String> entries = file.sections().getOrDefault(section, Map.of());
+        return Optional.ofNullable(entries.get(key));
+    }
+
+    private void problem(String section, String key, String value, String allowed) {
+        problems.add(new SettingsProblem(file.name(), section, key, value, allowed));
+    }
+}
--- /dev/null
+++ b/sequoianotch-policy/src/main/java/org/sequoianotch/policy/admission/AdmissionTicket.java
@@ -0,0 +1,17 @@
+package org.sequoianotch.policy.admission;
+
+import io.vavr.control.Either;
+import org.sequoianotch.error.Failure;
+
+/** Place of one call in the admission of an instance. This type is thread-safe. */
+public interface AdmissionTicket {
+    /**
+     * Waits until the call is admitted or refused. The wait is bounded by the queue time limit and the deadline.
+     *
+     * @return the permit, or the failure, which always proves that the call did not run
+     */
+    Either<Failure, Permit> await();
+
+    /** Removes the call from the queue; {@link #await} then returns a failure. Does nothing after the call ended. */
+    void cancel();
+}
--- /dev/null
+++ b/sequoianotch-policy/src/main/java/org/sequoianotch/policy/admission/package-info.java
@@ -0,0 +1,5 @@
+/** Admission at an instance and at the entry node. */
+@NullMarked
+package org.sequoianotch.policy.admission;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/sequoianotch-policy/src/main/java/org/sequoianotch/policy/routing/package-info.java
@@ -0,0 +1,5 @@
+/** Selection of an instance for a call. */
+@NullMarked
+package org.sequoianotch.policy.routing;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/CallHeader.java
@@ -0,0 +1,89 @@
+package org.sequoianotch.protocol;
+
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import org.jspecify.annotations.Nullable;
+import org.sequoianotch.model.Criticality;
+import org.sequoianotch.model.RequestId;
+import org.sequoianotch.model.ServiceName;
+
+/**
+ * Head of a call between nodes: the HTTP request line and headers, with the request's context.
+ *
+ * <p>This type is immutable.
+ *
+ * @param requestId the request that the call belongs to; not null
+ * @param service the service called; not null
+ * @param method the HTTP method; not null
+ * @param path the path after the service name, with its query; starts with a slash
+ * @param headers the HTTP headers to pass on; not null
+ * @param timeLeftMs time until the deadline, in milliseconds; positive
+ * @param criticality how much the request matters; not null
+ * @param retryShare retries that the callee may use; not negative
+ * @param depth calls above this one in the chain; zero for the call of the entry node
+ * @param idempotencyKey the idempotency key, or null if there is none
+ * @param bodyBytes length of the body, or {@link #LENGTH_UNKNOWN}
+ */
+public record CallHeader(
+        RequestId requestId,
+        ServiceName service,
+        String method,
+        String path,
+        List<HeaderField> headers,
+        long timeLeftMs,
+        Criticality criticality,
+        int retryShare,
+        int depth,
+        @Nullable String idempotencyKey,
+        long bodyBytes) {
+    /** Value of {@code bodyBytes} for a body whose length is not known in advance. */
+    public static final long LENGTH_UNKNOWN = -1;
+
+    /** Checks the components and copies the headers. */
+    public CallHeader {
+        Objects.requireNonNull(requestId, "requestId");
+        Objects.requireNonNull(service, "service");
+        Objects.requireNonNull(method, "method");
+        Objects.requireNonNull(criticality, "criticality");
+        headers = List.copyOf(headers);
+        if (!path.startsWith("/")) {
+            throw new IllegalArgumentException("path \"" + path + "\" must start with a slash");
+        }
+        if (timeLeftMs <= 0 || retryShare < 0 || depth < 0 || bodyBytes < LENGTH_UNKNOWN) {
+            throw new IllegalArgumentException("timeLeftMs " + timeLeftMs + ", retryShare " + retryShare + ", depth "
+                    + depth + " or bodyBytes " + bodyBytes + " is out of range");
+        }
+    }
+
+    /**
+     * Returns the idempotency key.
+     *
+     * @return the key, or empty if there is none
+     */
+    public Optional<String> key() {
+        return Optional.ofNullable(idempotencyKey);
+    }
+
+    /**
+     * Returns a copy for another attempt.
+     *
+     * @param newTimeLeftMs time until the deadline, in milliseconds; positive
+     * @param newRetryShare retries that the callee may use; not negative
+     * @return the copy, never null
+     */
+    public CallHeader withAttempt(long newTimeLeftMs, int newRetryShare) {
+        return new CallHeader(
+                requestId,
+                service,
+                method,
+                path,
+                headers,
+                newTimeLeftMs,
+                criticality,
+                newRetryShare,
+                depth,
+                idempotencyKey,
+                bodyBytes);
+    }
+}
--- /dev/null
+++ b/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/link/CallHandler.java
@@ -0,0 +1,12 @@
+package org.sequoianotch.protocol.link;
+
+/** Serves the calls that other nodes open. It is called on a virtual thread for each call and may block. */
+@FunctionalInterface
+public interface CallHandler {
+    /**
+     * Serves one call until it is answered, refused or cancelled.
+     *
+     * @param call the call; not null
+     */
+    void handle(IncomingCall call);
+}
