Add the protective and the naive decisions behind PolicyMode

AdmissionTicket gains whenDecided, a callback that lets a simulation drive the decisions without threads.

--- /dev/null
+++ b/sequoianotch-policy/src/main/java/org/sequoianotch/policy/PolicyMode.java
@@ -0,0 +1,153 @@
+package org.sequoianotch.policy;
+
+import java.util.Locale;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+import org.sequoianotch.model.DataCentre;
+import org.sequoianotch.model.Region;
+import org.sequoianotch.policy.admission.AdmissionControl;
+import org.sequoianotch.policy.admission.EntryGate;
+import org.sequoianotch.policy.admission.ProtectiveAdmission;
+import org.sequoianotch.policy.admission.ProtectiveEntryGate;
+import org.sequoianotch.policy.naive.NaiveAdmission;
+import org.sequoianotch.policy.naive.NaiveEntryGate;
+import org.sequoianotch.policy.naive.NaiveRetryPolicy;
+import org.sequoianotch.policy.naive.NaiveSelector;
+import org.sequoianotch.policy.retry.ProtectiveRetryPolicy;
+import org.sequoianotch.policy.retry.RetryPolicy;
+import org.sequoianotch.policy.routing.InstanceSelector;
+import org.sequoianotch.policy.routing.ProtectiveSelector;
+import org.sequoianotch.template.ServiceRule;
+import org.sequoianotch.time.Clock;
+
+/** Which decisions a node makes under load. */
+public enum PolicyMode {
+    /** Measured limits, shedding by criticality, bounded retries, and routing by load. */
+    PROTECTIVE {
+        @Override
+        public AdmissionControl newAdmission(ServiceRule rule, int slots, Clock clock) {
+            return new ProtectiveAdmission(rule, slots, clock);
+        }
+
+        @Override
+        public EntryGate newEntryGate(Clock clock, RandomGenerator random) {
+            return new ProtectiveEntryGate(clock, random);
+        }
+
+        @Override
+        public InstanceSelector newSelector(
+                ServiceRule rule,
+                DataCentre home,
+                Region homeRegion,
+                int crossRegionPriceMsPerKib,
+                Clock clock,
+                RandomGenerator random) {
+            return new ProtectiveSelector(rule, home, homeRegion, crossRegionPriceMsPerKib, clock, random);
+        }
+
+        @Override
+        public RetryPolicy newRetryPolicy(ServiceRule rule, Clock clock) {
+            return new ProtectiveRetryPolicy(rule, clock);
+        }
+    },
+    /** First come, first served; three retries at each hop; random routing. The baseline for comparisons. */
+    NAIVE {
+        @Override
+        public AdmissionControl newAdmission(ServiceRule rule, int slots, Clock clock) {
+            return new NaiveAdmission(slots, clock);
+        }
+
+        @Override
+        public EntryGate newEntryGate(Clock clock, RandomGenerator random) {
+            return new NaiveEntryGate();
+        }
+
+        @Override
+        public InstanceSelector newSelector(
+                ServiceRule rule,
+                DataCentre home,
+                Region homeRegion,
+                int crossRegionPriceMsPerKib,
+                Clock clock,
+                RandomGenerator random) {
+            return new NaiveSelector(random);
+        }
+
+        @Override
+        public RetryPolicy newRetryPolicy(ServiceRule rule, Clock clock) {
+            return new NaiveRetryPolicy();
+        }
+    };
+
+    /**
+     * Finds a mode by its code.
+     *
+     * @param code the code, {@code protective} or {@code naive}; not null
+     * @return the mode, or empty if there is none of that code
+     */
+    public static Optional<PolicyMode> ofCode(String code) {
+        for (PolicyMode mode : values()) {
+            if (mode.code().equals(code)) {
+                return Optional.of(mode);
+            }
+        }
+        return Optional.empty();
+    }
+
+    /**
+     * Returns the name used in settings.
+     *
+     * @return the code in lower case, never null
+     */
+    public String code() {
+        return name().toLowerCase(Locale.ROOT);
+    }
+
+    /**
+     * Creates the admission of one local instance.
+     *
+     * @param rule limits of the service; not null
+     * @param slots calls that the backend server runs at once; at least 1
+     * @param clock the clock; not null
+     * @return the admission, never null
+     */
+    public abstract AdmissionControl newAdmission(ServiceRule rule, int slots, Clock clock);
+
+    /**
+     * Creates the entry gate of one service at a node.
+     *
+     * @param clock the clock; not null
+     * @param random source of randomness; not null
+     * @return the gate, never null
+     */
+    public abstract EntryGate newEntryGate(Clock clock, RandomGenerator random);
+
+    /**
+     * Creates the selector of one service at a node.
+     *
+     * @param rule limits of the service; not null
+     * @param home the node's data centre; not null
+     * @param homeRegion the node's region; not null
+     * @param crossRegionPriceMsPerKib time that a call must save for each KiB that it sends to another region; not
+     *     negative
+     * @param clock the clock; not null
+     * @param random source of randomness; not null
+     * @return the selector, never null
+     */
+    public abstract InstanceSelector newSelector(
+            ServiceRule rule,
+            DataCentre home,
+            Region homeRegion,
+            int crossRegionPriceMsPerKib,
+            Clock clock,
+            RandomGenerator random);
+
+    /**
+     * Creates the retry policy of one service at a node.
+     *
+     * @param rule limits of the service; not null
+     * @param clock the clock; not null
+     * @return the policy, never null
+     */
+    public abstract RetryPolicy newRetryPolicy(ServiceRule rule, Clock clock);
+}
--- a/sequoianotch-policy/src/main/java/org/sequoianotch/policy/admission/AdmissionTicket.java
+++ b/sequoianotch-policy/src/main/java/org/sequoianotch/policy/admission/AdmissionTicket.java
@@ -1,6 +1,7 @@
 package org.sequoianotch.policy.admission;
 
 import io.vavr.control.Either;
+import java.util.function.Consumer;
 import org.sequoianotch.error.Failure;
 
 /** Place of one call in the admission of an instance. This type is thread-safe. */
@@ -12,6 +13,14 @@
      */
     Either<Failure, Permit> await();
 
+    /**
+     * Passes the decision on as soon as it is made, as an alternative to {@link #await} that does not block. The
+     * consumer runs on the thread that makes the decision, or on this one if it is already made.
+     *
+     * @param consumer receives the permit, or the failure; not null
+     */
+    void whenDecided(Consumer<Either<Failure, Permit>> consumer);
+
     /** Removes the call from the queue; {@link #await} then returns a failure. Does nothing after the call ended. */
     void cancel();
 }
--- /dev/null
+++ b/sequoianotch-policy/src/main/java/org/sequoianotch/policy/admission/ProtectiveAdmission.java
@@ -0,0 +1,205 @@
+package org.sequoianotch.policy.admission;
+
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
+import org.sequoianotch.error.ErrorKind;
+import org.sequoianotch.error.Failure;
+import org.sequoianotch.model.Criticality;
+import org.sequoianotch.model.LoadReport;
+import org.sequoianotch.template.ServiceRule;
+import org.sequoianotch.time.Clock;
+
+/**
+ * Admission with a measured concurrency limit and a short queue that is ordered by importance.
+ *
+ * <p>Decisions are made by {@link #submit}, by the release of permits, by {@link AdmissionTicket#cancel} and by
+ * {@link #load}, all without blocking. A thread that waits in {@link AdmissionTicket#await} makes its own call expire.
+ * This class is thread-safe.
+ */
+public final class ProtectiveAdmission implements AdmissionControl {
+    private final ServiceRule rule;
+    private final Clock clock;
+    private final ConcurrencyLimit limit;
+    private final OverloadLevel level;
+    private final WaitingCalls queue = new WaitingCalls();
+    private int inFlight;
+    private long nextSequence;
+
+    /**
+     * Creates the admission of one instance.
+     *
+     * @param rule limits of the service; not null
+     * @param slots calls that the backend server runs at once; at least 1
+     * @param clock the clock; not null
+     * @throws IllegalArgumentException if there are no slots
+     */
+    public ProtectiveAdmission(ServiceRule rule, int slots, Clock clock) {
+        if (slots < 1) {
+            throw new IllegalArgumentException("slots is " + slots + ", but must be at least 1");
+        }
+        this.rule = rule;
+        this.clock = clock;
+        this.limit = new ConcurrencyLimit(Math.min(slots, rule.maxInFlight()), clock.monotonicMs());
+        this.level = new OverloadLevel(rule.queueTimeMs(), clock.monotonicMs());
+    }
+
+    @Override
+    public AdmissionTicket submit(AdmissionRequest request) {
+        DecisionCell cell = new DecisionCell();
+        List<Runnable> decisions = new ArrayList<>();
+        WaitingCall call;
+        synchronized (this) {
+            double nowMs = clock.monotonicMs();
+            double expiresAtMs = Math.min(nowMs + rule.queueTimeMs(), request.deadlineAtMs());
+            call = new WaitingCall(request, nextSequence++, nowMs, expiresAtMs, cell);
+            level.onArrival(request.criticality());
+            if (request.deadlineAtMs() <= nowMs) {
+                refuse(call, nowMs, "before it was queued", decisions);
+            } else {
+                queue.add(call);
+                advance(nowMs, decisions);
+                while (queue.size() > rule.queueLength()) {
+                    refuse(queue.removeLeastImportant(), nowMs, "because the queue was full", decisions);
+                }
+            }
+        }
+        decisions.forEach(Runnable::run);
+        return new Ticket(call);
+    }
+
+    @Override
+    public LoadReport load() {
+        List<Runnable> decisions = new ArrayList<>();
+        LoadReport report;
+        synchronized (this) {
+            advance(clock.monotonicMs(), decisions);
+            report = new LoadReport(inFlight, limit.current(), queue.size(), level.level());
+        }
+        decisions.forEach(Runnable::run);
+        return report;
+    }
+
+    private void release(WaitingCall call, double admittedAtMs, CallResult result, double latencyMs) {
+        List<Runnable> decisions = new ArrayList<>();
+        synchronized (this) {
+            double nowMs = clock.monotonicMs();
+            limit.onEnd(admittedAtMs, nowMs, result, latencyMs, inFlight);
+            inFlight--;
+            advance(nowMs, decisions);
+        }
+        decisions.forEach(Runnable::run);
+    }
+
+    private void cancel(WaitingCall call) {
+        boolean removed;
+        synchronized (this) {
+            removed = queue.remove(call);
+        }
+        if (removed) {
+            call.cell().decide(Either.left(DecisionCell.cancelled()));
+        }
+    }
+
+    /** Drops expired calls, then starts the most important ones while slots are free. */
+    private void advance(double nowMs, List<Runnable> decisions) {
+        for (WaitingCall call : queue.removeExpired(nowMs)) {
+            refuse(call, nowMs, "because it waited too long", decisions);
+        }
+        level.advance(nowMs, limit.current());
+        @Nullable WaitingCall next = queue.mostImportant();
+        while (next != null && inFlight < level.limitFor(next.request().criticality(), limit.current())) {
+            start(next, nowMs, decisions);
+            next = queue.mostImportant();
+        }
+    }
+
+    private void start(WaitingCall call, double nowMs, List<Runnable> decisions) {
+        queue.remove(call);
+        inFlight++;
+        double waitedMs = nowMs - call.arrivedAtMs();
+        level.onStart(call.request().criticality(), waitedMs);
+        Permit permit = new CallPermit(call, nowMs, waitedMs);
+        decisions.add(() -> call.cell().decide(Either.right(permit)));
+    }
+
+    private void refuse(WaitingCall call, double nowMs, String reason, List<Runnable> decisions) {
+        Criticality criticality = call.request().criticality();
+        double waitedMs = nowMs - call.arrivedAtMs();
+        Failure failure;
+        if (call.request().deadlineAtMs() <= nowMs) {
+            failure = Failure.of(
+                    ErrorKind.DEADLINE_BEFORE_RUN,
+                    "The deadline passed after %.0f ms in the queue.".formatted(waitedMs));
+        } else {
+            level.onRefusal(criticality, waitedMs);
+            failure = Failure.of(
+                    ErrorKind.OVERLOADED,
+                    "A %s call was refused after %.0f ms %s; %d calls were in flight (limit %d), %d were queued."
+                            .formatted(criticality.code(), waitedMs, reason, inFlight, limit.current(), queue.size()));
+        }
+        decisions.add(() -> call.cell().decide(Either.left(failure)));
+    }
+
+    /** Place of one call. */
+    private final class Ticket implements AdmissionTicket {
+        private final WaitingCall call;
+
+        Ticket(WaitingCall call) {
+            this.call = call;
+        }
+
+        @Override
+        public Either<Failure, Permit> await() {
+            try {
+                // A millisecond more than the time left, because the wait has whole milliseconds.
+                while (!call.cell().awaitFor((long) Math.max(0, call.expiresAtMs() - clock.monotonicMs()) + 1)) {
+                    load();
+                }
+            } catch (InterruptedException e) {
+                ProtectiveAdmission.this.cancel(call);
+                Thread.currentThread().interrupt();
+            }
+            return call.cell().await(this::cancel);
+        }
+
+        @Override
+        public void whenDecided(Consumer<Either<Failure, Permit>> consumer) {
+            call.cell().whenDecided(consumer);
+        }
+
+        @Override
+        public void cancel() {
+            ProtectiveAdmission.this.cancel(call);
+        }
+    }
+
+    /** Permission of one call. */
+    private final class CallPermit implements Permit {
+        private final WaitingCall call;
+        private final double admittedAtMs;
+        private final double waitedMs;
+        private final AtomicBoolean released = new AtomicBoolean();
+
+        CallPermit(WaitingCall call, double admittedAtMs, double waitedMs) {
+            this.call = call;
+            this.admittedAtMs = admittedAtMs;
+            this.waitedMs = waitedMs;
+        }
+
+        @Override
+        public double waitedMs() {
+            return waitedMs;
+        }
+
+        @Override
+        public void release(CallResult result, double latencyMs) {
+            if (released.compareAndSet(false, true)) {
+                ProtectiveAdmission.this.release(call, admittedAtMs, result, latencyMs);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/sequoianotch-policy/src/main/java/org/sequoianotch/policy/naive/NaiveAdmission.java
@@ -0,0 +1,134 @@
+package org.sequoianotch.policy.naive;
+
+import io.vavr.control.Either;
+import java.util.LinkedHashSet;
+import java.util.Set;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
+import org.sequoianotch.error.Failure;
+import org.sequoianotch.model.LoadReport;
+import org.sequoianotch.policy.admission.AdmissionControl;
+import org.sequoianotch.policy.admission.AdmissionRequest;
+import org.sequoianotch.policy.admission.AdmissionTicket;
+import org.sequoianotch.policy.admission.CallResult;
+import org.sequoianotch.policy.admission.DecisionCell;
+import org.sequoianotch.policy.admission.Permit;
+import org.sequoianotch.time.Clock;
+
+/**
+ * Admission in the order of arrival, up to the slots, with a queue that has no limit.
+ *
+ * <p>Neither criticality nor deadlines count, so the wait is bounded only by {@link AdmissionTicket#cancel}. This class
+ * is thread-safe.
+ */
+public final class NaiveAdmission implements AdmissionControl {
+    private final int slots;
+    private final Clock clock;
+    private final Set<Ticket> queue = new LinkedHashSet<>();
+    private int inFlight;
+
+    /**
+     * Creates the admission of one instance.
+     *
+     * @param slots calls that the backend server runs at once; at least 1
+     * @param clock the clock; not null
+     */
+    public NaiveAdmission(int slots, Clock clock) {
+        this.slots = slots;
+        this.clock = clock;
+    }
+
+    @Override
+    public AdmissionTicket submit(AdmissionRequest request) {
+        Ticket ticket = new Ticket(clock.monotonicMs());
+        synchronized (this) {
+            queue.add(ticket);
+        }
+        startNext();
+        return ticket;
+    }
+
+    @Override
+    public synchronized LoadReport load() {
+        return new LoadReport(inFlight, slots, queue.size(), LoadReport.ADMIT_ALL);
+    }
+
+    private void startNext() {
+        @Nullable Ticket next = null;
+        synchronized (this) {
+            if (inFlight < slots && !queue.isEmpty()) {
+                next = queue.iterator().next();
+                queue.remove(next);
+                inFlight++;
+            }
+        }
+        if (next != null) {
+            next.cell.decide(Either.right(new CallPermit(clock.monotonicMs() - next.arrivedAtMs)));
+        }
+    }
+
+    private void release() {
+        synchronized (this) {
+            inFlight--;
+        }
+        startNext();
+    }
+
+    private void cancel(Ticket ticket) {
+        boolean removed;
+        synchronized (this) {
+            removed = queue.remove(ticket);
+        }
+        if (removed) {
+            ticket.cell.decide(Either.left(DecisionCell.cancelled()));
+        }
+    }
+
+    /** Place of one call. */
+    private final class Ticket implements AdmissionTicket {
+        private final DecisionCell cell = new DecisionCell();
+        private final double arrivedAtMs;
+
+        Ticket(double arrivedAtMs) {
+            this.arrivedAtMs = arrivedAtMs;
+        }
+
+        @Override
+        public Either<Failure, Permit> await() {
+            return cell.await(this::cancel);
+        }
+
+        @Override
+        public void whenDecided(Consumer<Either<Failure, Permit>> consumer) {
+            cell.whenDecided(consumer);
+        }
+
+        @Override
+        public void cancel() {
+            NaiveAdmission.this.cancel(this);
+        }
+    }
+
+    /** Permission of one call. */
+    private final class CallPermit implements Permit {
+        private final double waitedMs;
+        private final AtomicBoolean released = new AtomicBoolean();
+
+        CallPermit(double waitedMs) {
+            this.waitedMs = waitedMs;
+        }
+
+        @Override
+        public double waitedMs() {
+            return waitedMs;
+        }
+
+        @Override
+        public void release(CallResult result, double latencyMs) {
+            if (released.compareAndSet(false, true)) {
+                NaiveAdmission.this.release();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/sequoianotch-policy/src/main/java/org/sequoianotch/policy/retry/ProtectiveRetryPolicy.java
@@ -0,0 +1,65 @@
+package org.sequoianotch.policy.retry;
+
+import org.sequoianotch.error.ErrorKind;
+import org.sequoianotch.template.ServiceRule;
+import org.sequoianotch.time.Clock;
+
+/**
+ * Retries within the request's allowance, the service's budget and the time left.
+ *
+ * <p>Calls on safe routes are repeated after every failure that another attempt may avoid. Calls on other routes are
+ * repeated only if the failure proves that the call did not run. This class is thread-safe.
+ */
+public final class ProtectiveRetryPolicy implements RetryPolicy {
+    private final RetryBudget budget;
+
+    /**
+     * Creates the policy of one service at one node.
+     *
+     * @param rule limits of the service; not null
+     * @param clock the clock; not null
+     */
+    public ProtectiveRetryPolicy(ServiceRule rule, Clock clock) {
+        this.budget = RetryBudget.of(rule.retryBudgetPercent(), clock);
+    }
+
+    @Override
+    public void onFirstAttempt() {
+        budget.onFirstAttempt();
+    }
+
+    @Override
+    public boolean mayRetry(RetryQuestion question, RetryAllowance allowance) {
+        boolean repeatable =
+                question.repeat().isRepeatableInDoubt() || question.failure().provesNotRun();
+        if (!repeatable
+                || question.timeLeftMs() <= 0
+                || !helps(question.failure().kind())) {
+            return false;
+        }
+        // The budget is looked at first, so that a refused retry does not use up allowance of the request.
+        synchronized (budget) {
+            return budget.hasToken() && allowance.takeForRetry() && budget.take();
+        }
+    }
+
+    /** Tells whether another attempt, sent at once to another instance, may end differently. */
+    private static boolean helps(ErrorKind kind) {
+        return switch (kind) {
+            case OVERLOADED, DRAINING, CONNECTION_LOST, BACKEND_CUT_ANSWER, INTERNAL -> true;
+            case BAD_REQUEST,
+                    UNKNOWN_SERVICE,
+                    KEY_REQUIRED,
+                    KEY_REUSED,
+                    KEY_IN_PROGRESS,
+                    KEY_IN_DOUBT,
+                    LEDGER_UNREACHABLE,
+                    NO_INSTANCE,
+                    RETRIES_EXHAUSTED,
+                    DEADLINE_BEFORE_RUN,
+                    DEADLINE_IN_DOUBT,
+                    BODY_INCOMPLETE,
+                    CALLER_GONE -> false;
+        };
+    }
+}
--- /dev/null
+++ b/sequoianotch-policy/src/main/java/org/sequoianotch/policy/retry/RetryBudget.java
@@ -0,0 +1,67 @@
+package org.sequoianotch.policy.retry;
+
+import org.sequoianotch.time.Clock;
+
+/**
+ * Token bucket that keeps the retries of a node to one service below a share of its first attempts.
+ *
+ * <p>Each first attempt adds the share of a token. In addition one token is added each second, so that a node with few
+ * calls can retry at all. At most 10 tokens are kept. A share of zero turns retries off. This class is thread-safe.
+ */
+public final class RetryBudget {
+    private static final double FLOOR_TOKENS_PER_MS = 0.001;
+    private static final double BURST_TOKENS = 10;
+    private static final double PERCENT = 100.0;
+
+    private final double share;
+    private final Clock clock;
+    private double tokens = BURST_TOKENS;
+    private double refilledAtMs;
+
+    private RetryBudget(int percent, Clock clock) {
+        this.share = percent / PERCENT;
+        this.clock = clock;
+        this.refilledAtMs = clock.monotonicMs();
+    }
+
+    /**
+     * Creates a full budget.
+     *
+     * @param percent retries allowed for each 100 first attempts; not negative
+     * @param clock the clock; not null
+     * @return the budget, never null
+     */
+    public static RetryBudget of(int percent, Clock clock) {
+        return new RetryBudget(percent, clock);
+    }
+
+    /** Counts a first attempt. */
+    public synchronized void onFirstAttempt() {
+        tokens = Math.min(BURST_TOKENS, tokens + share);
+    }
+
+    /**
+     * Tells whether there is a token, without taking it.
+     *
+     * @return true if a retry is within the budget
+     */
+    public synchronized boolean hasToken() {
+        double nowMs = clock.monotonicMs();
+        tokens = Math.min(BURST_TOKENS, tokens + (nowMs - refilledAtMs) * FLOOR_TOKENS_PER_MS);
+        refilledAtMs = nowMs;
+        return share > 0 && tokens >= 1;
+    }
+
+    /**
+     * Takes a token.
+     *
+     * @return true if there was one
+     */
+    public synchronized boolean take() {
+        if (!hasToken()) {
+            return false;
+        }
+        tokens--;
+        return true;
+    }
+}
