--- /dev/null
+++ b/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/link/ByteMeter.java
@@ -0,0 +1,41 @@
+package org.sequoianotch.protocol.link;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelDuplexHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPromise;
+import org.sequoianotch.time.Clock;
+
+/** Counts the bytes of a connection and notes when the last of them arrived. */
+final class ByteMeter extends ChannelDuplexHandler {
+    private final Clock clock;
+    private final LinkCounters counters;
+    private volatile double lastReceivedMs;
+
+    ByteMeter(Clock clock, LinkCounters counters) {
+        this.clock = clock;
+        this.counters = counters;
+        lastReceivedMs = clock.monotonicMs();
+    }
+
+    double lastReceivedMs() {
+        return lastReceivedMs;
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+        lastReceivedMs = clock.monotonicMs();
+        if (message instanceof ByteBuf buffer) {
+            counters.countReceived(buffer.readableBytes());
+        }
+        context.fireChannelRead(message);
+    }
+
+    @Override
+    public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
+        if (message instanceof ByteBuf buffer) {
+            counters.countSent(buffer.readableBytes());
+        }
+        context.write(message, promise);
+    }
+}
--- /dev/null
+++ b/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/link/FrameChannel.java
@@ -0,0 +1,261 @@
+package org.sequoianotch.protocol.link;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.handler.codec.CorruptedFrameException;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.TooLongFrameException;
+import io.netty.handler.flush.FlushConsolidationHandler;
+import io.netty.handler.ssl.SslContext;
+import io.netty.handler.ssl.SslHandler;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.jspecify.annotations.Nullable;
+import org.sequoianotch.protocol.Frame;
+import org.sequoianotch.protocol.FrameCodec;
+import org.sequoianotch.protocol.FrameFormatException;
+import org.sequoianotch.time.Clock;
+
+/**
+ * One connection as a source and a sink of frames.
+ *
+ * <p>The event loop decodes frames into a bounded queue, from which the link's thread takes them. Reading is off while
+ * the queue is full. Heartbeats are sent, answered and watched on the event loop, so that a busy thread does not make a
+ * link look dead. Sending never blocks and is thread-safe.
+ */
+final class FrameChannel extends ChannelInboundHandlerAdapter {
+    private static final Logger LOG = LogManager.getLogger(FrameChannel.class);
+
+    /** Reading stops at this many queued bytes; it leaves room for one frame of the greatest size. */
+    private static final int HIGH_WATER_BYTES = FrameCodec.MAX_FRAME_BYTES;
+
+    private static final int LOW_WATER_BYTES = HIGH_WATER_BYTES / 2;
+
+    /** Added to the size of each queued frame, so that a flood of tiny frames fills the queue as well. */
+    private static final int FRAME_OVERHEAD_BYTES = 128;
+
+    /** How long a closing side waits for its last frames to be taken. */
+    private static final long LINGER_MS = 1_000;
+
+    private static final int MAX_FLUSH_DELAY_FRAMES = 64;
+
+    private record Entry(@Nullable Frame frame, int cost) {}
+
+    private static final Entry END = new Entry(null, 0);
+
+    private final Channel channel;
+    private final ByteMeter meter;
+    private final Clock clock;
+    private final LinkCounters counters;
+    private final LinkedBlockingQueue<Entry> queue = new LinkedBlockingQueue<>();
+    private final AtomicInteger queuedBytes = new AtomicInteger();
+    private final AtomicReference<@Nullable String> closeReason = new AtomicReference<>();
+    private volatile boolean paused;
+    private volatile boolean established;
+    private long pings;
+
+    private FrameChannel(Channel channel, ByteMeter meter, Clock clock, LinkCounters counters) {
+        this.channel = channel;
+        this.meter = meter;
+        this.clock = clock;
+        this.counters = counters;
+    }
+
+    /** Fills the pipeline of a new channel. */
+    static FrameChannel install(
+            Channel channel, @Nullable SslContext tls, int timeoutMs, Clock clock, LinkCounters counters) {
+        ByteMeter meter = new ByteMeter(clock, counters);
+        FrameChannel frames = new FrameChannel(channel, meter, clock, counters);
+        channel.pipeline().addLast(meter);
+        if (tls != null) {
+            SslHandler handler = tls.newHandler(channel.alloc());
+            handler.setHandshakeTimeoutMillis(timeoutMs);
+            channel.pipeline().addLast(handler);
+        }
+        channel.pipeline()
+                .addLast(new FlushConsolidationHandler(MAX_FLUSH_DELAY_FRAMES, true))
+                .addLast(new LengthFieldBasedFrameDecoder(
+                        FrameCodec.MAX_FRAME_BYTES + FrameCodec.PREFIX_BYTES,
+                        0,
+                        FrameCodec.PREFIX_BYTES,
+                        0,
+                        FrameCodec.PREFIX_BYTES))
+                .addLast(frames);
+        return frames;
+    }
+
+    /** Takes the next frame; null at the end of the connection. */
+    @Nullable
+    Frame take() throws InterruptedException {
+        return accept(queue.take());
+    }
+
+    /** Takes the next frame; null at the end of the connection or after the timeout. */
+    @Nullable
+    Frame take(long timeoutMs) throws InterruptedException {
+        Entry entry = queue.poll(timeoutMs, TimeUnit.MILLISECONDS);
+        return entry == null ? null : accept(entry);
+    }
+
+    private @Nullable Frame accept(Entry entry) {
+        if (queuedBytes.addAndGet(-entry.cost()) <= LOW_WATER_BYTES && paused) {
+            channel.eventLoop().execute(this::resumeIfDrained);
+        }
+        return entry.frame();
+    }
+
+    void send(Frame frame) throws FrameFormatException {
+        channel.writeAndFlush(FrameCodec.encodeWithPrefix(frame));
+    }
+
+    void sendEncoded(ByteBuf frame) {
+        channel.writeAndFlush(frame);
+    }
+
+    boolean isOpen() {
+        return closeReason.get() == null && channel.isActive();
+    }
+
+    /** Starts heartbeats after the handshake. The connecting side sends them, and the accepting side answers. */
+    void establish(LinkOptions options, boolean sendsPings) {
+        established = true;
+        channel.eventLoop().execute(() -> {
+            if (sendsPings) {
+                channel.eventLoop().schedule(() -> ping(options), options.heartbeatMs(), TimeUnit.MILLISECONDS);
+            }
+            checkSilence(options);
+        });
+    }
+
+    void close(String reason) {
+        closeReason.compareAndSet(null, reason);
+        channel.close();
+    }
+
+    /** Closes the connection after the peer has taken the frames sent so far, or after {@link #LINGER_MS}. */
+    void closeAfterFlush(String reason) {
+        closeReason.compareAndSet(null, reason);
+        channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(sent -> {
+            if (channel instanceof SocketChannel socket && channel.isActive()) {
+                socket.shutdownOutput();
+            }
+        });
+        channel.eventLoop().schedule(() -> channel.close(), LINGER_MS, TimeUnit.MILLISECONDS);
+    }
+
+    void awaitClose() {
+        channel.closeFuture().awaitUninterruptibly(2 * LINGER_MS);
+    }
+
+    /** Why the connection ended. */
+    String reason() {
+        String reason = closeReason.get();
+        return reason == null ? "the peer closed the connection" : reason;
+    }
+
+    String remoteAddress() {
+        return String.valueOf(channel.remoteAddress());
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+        ByteBuf buffer = (ByteBuf) message;
+        try {
+            if (closeReason.get() == null) {
+                receive(FrameCodec.decode(buffer), buffer.readableBytes());
+            }
+        } catch (FrameFormatException e) {
+            malformed(e.getMessage());
+        } finally {
+            buffer.release();
+        }
+    }
+
+    private void receive(Frame frame, int sizeBytes) throws FrameFormatException {
+        if (established && frame instanceof Frame.Ping ping) {
+            counters.countHeartbeat(sizeBytes + FrameCodec.PREFIX_BYTES);
+            sendHeartbeat(new Frame.Pong(ping.number()));
+        } else if (established && frame instanceof Frame.Pong) {
+            counters.countHeartbeat(sizeBytes + FrameCodec.PREFIX_BYTES);
+        } else {
+            int cost = sizeBytes + FRAME_OVERHEAD_BYTES;
+            int queued = queuedBytes.addAndGet(cost);
+            queue.add(new Entry(frame, cost));
+            if (queued >= HIGH_WATER_BYTES && !paused) {
+                paused = true;
+                channel.config().setAutoRead(false);
+                resumeIfDrained();
+            }
+        }
+    }
+
+    /** Runs on the event loop. The second look after a pause covers a queue that was drained in between. */
+    private void resumeIfDrained() {
+        if (paused && queuedBytes.get() <= LOW_WATER_BYTES) {
+            paused = false;
+            channel.config().setAutoRead(true);
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        queue.add(END);
+        context.fireChannelInactive();
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        if (cause instanceof TooLongFrameException || cause instanceof CorruptedFrameException) {
+            malformed(cause.getMessage());
+        } else {
+            close("the connection failed: " + cause.getMessage());
+        }
+    }
+
+    private void malformed(String detail) {
+        counters.countMalformedFrame();
+        LOG.warn("[peer] Closing the connection with {} after a malformed frame: {}", remoteAddress(), detail);
+        close("malformed frame: " + detail);
+    }
+
+    private void ping(LinkOptions options) {
+        if (channel.isActive()) {
+            // A connection that takes no more bytes is already being watched for silence.
+            if (channel.isWritable()) {
+                sendHeartbeat(new Frame.Ping(++pings));
+            }
+            channel.eventLoop().schedule(() -> ping(options), options.heartbeatMs(), TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void sendHeartbeat(Frame frame) {
+        try {
+            ByteBuf buffer = FrameCodec.encodeWithPrefix(frame);
+            counters.countHeartbeat(buffer.readableBytes());
+            channel.writeAndFlush(buffer);
+        } catch (FrameFormatException e) {
+            throw new IllegalStateException("A heartbeat is larger than a frame may be", e);
+        }
+    }
+
+    private void checkSilence(LinkOptions options) {
+        if (!channel.isActive()) {
+            return;
+        }
+        double leftMs = options.silenceTimeoutMs() - (clock.monotonicMs() - meter.lastReceivedMs());
+        if (leftMs <= 0) {
+            counters.countSilent();
+            close("nothing arrived for " + options.silenceTimeoutMs() + " ms");
+        } else {
+            channel.eventLoop().schedule(() -> checkSilence(options), (long) Math.ceil(leftMs), TimeUnit.MILLISECONDS);
+        }
+    }
+}
--- a/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/link/IncomingCall.java
+++ b/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/link/IncomingCall.java
@@ -45,7 +45,8 @@
     Either<Failure, Void> answer(AnswerHeader header);
 
     /**
-     * Sends a part of the answer's body, in chunks within the send window.
+     * Sends a part of the answer's body, in chunks within the send window. The array is not copied and must not be
+     * changed afterwards.
      *
      * @param bytes the part; not null
      * @return nothing, or the failure that kept it from being sent
--- /dev/null
+++ b/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/link/Link.java
@@ -0,0 +1,153 @@
+package org.sequoianotch.protocol.link;
+
+import io.netty.buffer.ByteBuf;
+import io.vavr.control.Either;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.sequoianotch.error.ErrorKind;
+import org.sequoianotch.error.Failure;
+import org.sequoianotch.model.HostId;
+import org.sequoianotch.protocol.Frame;
+import org.sequoianotch.protocol.FrameCodec;
+import org.sequoianotch.protocol.FrameFormatException;
+
+/** One connection to a peer after its handshake. The link's thread runs {@link #run} until the connection ends. */
+abstract class Link {
+    private static final Logger LOG = LogManager.getLogger(Link.class);
+
+    /** Longest detail or reason that is sent, so that a frame with it is never too large. */
+    private static final int MAX_TEXT_LENGTH = 4_096;
+
+    private final FrameChannel channel;
+    private final HostId peer;
+    private final LinkContext context;
+    private volatile boolean closed;
+    private volatile boolean closedHere;
+
+    Link(FrameChannel channel, HostId peer, LinkContext context) {
+        this.channel = channel;
+        this.peer = peer;
+        this.context = context;
+    }
+
+    /** Handles one frame without blocking. */
+    abstract void dispatch(Frame frame) throws ProtocolViolationException;
+
+    /** Gives everything that is open a final outcome. */
+    abstract void endAll(Failure failure);
+
+    final HostId peer() {
+        return peer;
+    }
+
+    final LinkContext context() {
+        return context;
+    }
+
+    /** Reads and dispatches frames until the connection ends. */
+    final void run(boolean sendsPings) {
+        context.counters().countOpened();
+        channel.establish(context.options(), sendsPings);
+        try {
+            Frame frame = channel.take();
+            while (frame != null) {
+                dispatch(frame);
+                frame = channel.take();
+            }
+        } catch (ProtocolViolationException e) {
+            context.counters().countMalformedFrame();
+            channel.close("protocol violation: " + e.getMessage());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            channel.close("the link's thread was interrupted");
+        } catch (RuntimeException e) {
+            LOG.error("[peer] Link with {} failed on an internal error", peer, e);
+            channel.close("internal error: " + e);
+        } finally {
+            finish();
+        }
+    }
+
+    private void finish() {
+        channel.close("the link ended");
+        closed = true;
+        if (closedHere) {
+            LOG.info("[peer] Link with {} at {} is closed: {}", peer, channel.remoteAddress(), channel.reason());
+        } else {
+            context.counters().countLost();
+            LOG.warn("[peer] Link with {} at {} is lost: {}", peer, channel.remoteAddress(), channel.reason());
+        }
+        endAll(lostFailure());
+    }
+
+    final Failure lostFailure() {
+        return Failure.of(
+                ErrorKind.CONNECTION_LOST, "The link with host " + peer + " was lost: " + channel.reason() + ".");
+    }
+
+    /** Tells whether the link has ended. Work registered while this is false is covered by {@link #endAll}. */
+    final boolean isClosed() {
+        return closed || !channel.isOpen();
+    }
+
+    final boolean hasEnded() {
+        return closed;
+    }
+
+    final void close(String reason) {
+        closedHere = true;
+        channel.close(reason);
+    }
+
+    final void closeAfterFlush(String reason) {
+        closedHere = true;
+        channel.closeAfterFlush(reason);
+    }
+
+    final void awaitClose() {
+        channel.awaitClose();
+    }
+
+    final void goAway(String reason) {
+        sendSmall(new Frame.GoAway(shorten(reason)));
+    }
+
+    final void send(Frame frame) throws FrameFormatException {
+        channel.send(frame);
+    }
+
+    final void sendEncoded(ByteBuf frame) {
+        channel.sendEncoded(frame);
+    }
+
+    /** Sends a frame that is small by its kind. */
+    final void sendSmall(Frame frame) {
+        try {
+            channel.send(frame);
+        } catch (FrameFormatException e) {
+            throw new IllegalStateException("A small frame is larger than a frame may be", e);
+        }
+    }
+
+    /** Sends a body part within the window, in chunks. */
+    final Either<Failure, Void> sendBody(long callId, boolean ofAnswer, byte[] bytes, SendWindow window) {
+        int offset = 0;
+        while (offset < bytes.length) {
+            var taken = window.acquire(Math.min(Frame.MAX_CHUNK_BYTES, bytes.length - offset));
+            if (taken.isLeft()) {
+                return Either.left(taken.getLeft());
+            }
+            channel.sendEncoded(FrameCodec.encodeBody(callId, ofAnswer, bytes, offset, taken.get()));
+            offset += taken.get();
+        }
+        return Either.right(null);
+    }
+
+    static String shorten(String text) {
+        return text.length() <= MAX_TEXT_LENGTH ? text : text.substring(0, MAX_TEXT_LENGTH);
+    }
+
+    static Failure shorten(Failure failure) {
+        return new Failure(failure.kind(), shorten(failure.detail()), failure.retryAfterMs());
+    }
+}
--- a/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/link/PeerCall.java
+++ b/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/link/PeerCall.java
@@ -14,7 +14,9 @@
  */
 public interface PeerCall {
     /**
-     * Sends a part of the body, in chunks within the send window.
+     * Sends a part of the body, in chunks within the send window. The array is not copied and must not be changed
+     * afterwards. After the peer answered in full, the rest of the body is not sent, and the failure is
+     * {@code body_incomplete}.
      *
      * @param bytes the part; not null
      * @return nothing, or the failure that kept it from being sent
--- /dev/null
+++ b/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/link/PeerLinks.java
@@ -0,0 +1,212 @@
+package org.sequoianotch.protocol.link;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.ssl.SslContext;
+import io.vavr.control.Either;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicReference;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.jspecify.annotations.Nullable;
+import org.sequoianotch.error.ErrorKind;
+import org.sequoianotch.error.Failure;
+import org.sequoianotch.model.HostId;
+import org.sequoianotch.protocol.CallHeader;
+import org.sequoianotch.protocol.FrameFormatException;
+import org.sequoianotch.protocol.Topic;
+import org.sequoianotch.time.Clock;
+
+/**
+ * The links of this node to other nodes, one for each peer address, opened on first use and shared by all calls.
+ *
+ * <p>A link that ends is replaced on the next use. This class is thread-safe.
+ */
+public final class PeerLinks implements PeerNetwork {
+    private static final Logger LOG = LogManager.getLogger(PeerLinks.class);
+
+    private final LinkContext context;
+    private final @Nullable SslContext tls;
+    private final Map<String, CompletableFuture<Either<Failure, OutgoingLink>>> links = new ConcurrentHashMap<>();
+    private volatile @Nullable PeerListener listener;
+    private volatile boolean closed;
+
+    /**
+     * Creates the links; none is opened yet.
+     *
+     * @param options options of the links; not null
+     * @param transport event loops and allocator, which stay open; not null
+     * @param clock source of time; not null
+     * @param counters counts what happens; not null
+     * @throws IllegalArgumentException if the files for TLS cannot be used
+     */
+    public PeerLinks(LinkOptions options, Transport transport, Clock clock, LinkCounters counters) {
+        context = new LinkContext(options, transport, clock, counters);
+        tls = options.tls().map(TlsOptions::connecting).orElse(null);
+    }
+
+    /**
+     * Makes {@link #goAway} cover the links that this node accepted as well.
+     *
+     * @param newListener the listener of this node; not null
+     */
+    public void attach(PeerListener newListener) {
+        listener = newListener;
+    }
+
+    @Override
+    public Either<Failure, PeerCall> open(String peerAddress, CallHeader header) {
+        return link(peerAddress, header.timeLeftMs()).flatMap(link -> link.open(header));
+    }
+
+    @Override
+    public Either<Failure, byte[]> ask(String peerAddress, Topic topic, byte[] payload, long timeoutMs) {
+        double startMs = context.clock().monotonicMs();
+        return link(peerAddress, timeoutMs).flatMap(link -> {
+            long leftMs = timeoutMs - (long) (context.clock().monotonicMs() - startMs);
+            return link.ask(topic, payload, Math.max(1, leftMs));
+        });
+    }
+
+    @Override
+    public void goAway(String reason) {
+        openLinks().forEach(link -> link.goAway(reason));
+        PeerListener attached = listener;
+        if (attached != null) {
+            attached.goAway(reason);
+        }
+    }
+
+    @Override
+    public void close() {
+        closed = true;
+        openLinks().forEach(link -> link.close("this node closes its links"));
+    }
+
+    private List<OutgoingLink> openLinks() {
+        return links.values().stream()
+                .map(future -> future.getNow(Either.left(Failure.of(ErrorKind.NO_INSTANCE, "still opening"))))
+                .filter(Either::isRight)
+                .map(Either::get)
+                .toList();
+    }
+
+    private Either<Failure, OutgoingLink> link(String address, long timeoutMs) {
+        while (!closed) {
+            CompletableFuture<Either<Failure, OutgoingLink>> future = links.get(address);
+            if (future == null) {
+                CompletableFuture<Either<Failure, OutgoingLink>> created = new CompletableFuture<>();
+                future = links.putIfAbsent(address, created);
+                if (future == null) {
+                    future = created;
+                    Thread.ofVirtual().name("link-" + address).start(() -> connectAndRun(address, created));
+                }
+            }
+            Either<Failure, OutgoingLink> link = await(address, future, timeoutMs);
+            if (link.isLeft() || !link.get().isClosed()) {
+                return link;
+            }
+            links.remove(address, future);
+        }
+        return Either.left(Failure.of(ErrorKind.NO_INSTANCE, "This node has closed its links."));
+    }
+
+    private static Either<Failure, OutgoingLink> await(
+            String address, CompletableFuture<Either<Failure, OutgoingLink>> future, long timeoutMs) {
+        try {
+            return future.get(timeoutMs, TimeUnit.MILLISECONDS);
+        } catch (TimeoutException e) {
+            return Either.left(Failure.of(
+                    ErrorKind.DEADLINE_BEFORE_RUN, "No link with " + address + " within " + timeoutMs + " ms."));
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return Either.left(
+                    Failure.of(ErrorKind.NO_INSTANCE, "Interrupted while waiting for a link with " + address + "."));
+        } catch (ExecutionException e) {
+            throw new IllegalStateException("A link never completes with an exception", e);
+        }
+    }
+
+    /** Runs on the link's own thread for as long as the link lives. */
+    private void connectAndRun(String address, CompletableFuture<Either<Failure, OutgoingLink>> future) {
+        Either<String, OutgoingLink> result;
+        try {
+            result = PeerAddress.parse(address).flatMap(this::connect);
+        } catch (RuntimeException e) {
+            LOG.error("[peer] Connecting to {} failed on an internal error", address, e);
+            result = Either.left("internal error " + e);
+        }
+        if (result.isLeft()) {
+            links.remove(address, future);
+            future.complete(Either.left(
+                    Failure.of(ErrorKind.NO_INSTANCE, "No link with " + address + ": " + result.getLeft() + ".")));
+            return;
+        }
+        OutgoingLink link = result.get();
+        LOG.info("[peer] Link with {} at {} is open", link.peer(), address);
+        future.complete(Either.right(link));
+        if (closed) {
+            link.close("this node closes its links");
+        }
+        try {
+            link.run(true);
+        } finally {
+            links.remove(address, future);
+        }
+    }
+
+    private Either<String, OutgoingLink> connect(InetSocketAddress address) {
+        AtomicReference<@Nullable FrameChannel> installed = new AtomicReference<>();
+        LinkOptions options = context.options();
+        ChannelFuture connected = new Bootstrap()
+                .group(context.transport().eventLoops())
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.ALLOCATOR, context.transport().allocator())
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, options.connectTimeoutMs())
+                .handler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel channel) {
+                        installed.set(FrameChannel.install(
+                                channel, tls, options.connectTimeoutMs(), context.clock(), context.counters()));
+                    }
+                })
+                .connect(address)
+                .awaitUninterruptibly();
+        FrameChannel frames = installed.get();
+        if (!connected.isSuccess() || frames == null) {
+            connected.channel().close();
+            return Either.left(String.valueOf(connected.cause()));
+        }
+        return shakeHands(frames).map(peer -> new OutgoingLink(frames, peer, context));
+    }
+
+    private Either<String, HostId> shakeHands(FrameChannel frames) {
+        Either<String, HostId> result;
+        try {
+            result = new Handshake(frames, context.options()).connect();
+        } catch (FrameFormatException e) {
+            result = Either.left(e.getMessage());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            result = Either.left("interrupted");
+        }
+        if (result.isLeft()) {
+            context.counters().countRefusedHandshake();
+            LOG.warn("[peer] Refused the peer at {}: {}", frames.remoteAddress(), result.getLeft());
+            frames.close("the handshake failed");
+        }
+        return result;
+    }
+}
--- /dev/null
+++ b/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/link/PeerListener.java
@@ -0,0 +1,203 @@
+package org.sequoianotch.protocol.link;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.ssl.SslContext;
+import io.vavr.control.Either;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.jspecify.annotations.Nullable;
+import org.sequoianotch.error.ErrorKind;
+import org.sequoianotch.error.Failure;
+import org.sequoianotch.model.HostId;
+import org.sequoianotch.protocol.FrameFormatException;
+import org.sequoianotch.protocol.Topic;
+import org.sequoianotch.time.Clock;
+
+/**
+ * Accepts links from other nodes and serves the calls and questions that come in on them, each on a virtual thread.
+ *
+ * <p>Register the handlers of questions with {@link #answer}, then {@link #start}. This class is thread-safe.
+ */
+public final class PeerListener implements AutoCloseable {
+    private static final Logger LOG = LogManager.getLogger(PeerListener.class);
+    private static final int BACKLOG = 1_024;
+
+    private final LinkContext context;
+    private final @Nullable SslContext tls;
+    private final CallHandler callHandler;
+    private final Map<Topic, AskHandler> askHandlers = new ConcurrentHashMap<>();
+    private final Set<AcceptedLink> links = ConcurrentHashMap.newKeySet();
+    private volatile @Nullable Channel serverChannel;
+    private volatile @Nullable String goAwayReason;
+    private volatile boolean closed;
+
+    /**
+     * Creates a listener that does not listen yet.
+     *
+     * @param options options of the links; not null
+     * @param transport event loops and allocator, which stay open; not null
+     * @param clock source of time; not null
+     * @param counters counts what happens; not null
+     * @param callHandler serves the calls; not null
+     * @throws IllegalArgumentException if the files for TLS cannot be used
+     */
+    public PeerListener(
+            LinkOptions options, Transport transport, Clock clock, LinkCounters counters, CallHandler callHandler) {
+        context = new LinkContext(options, transport, clock, counters);
+        tls = options.tls().map(TlsOptions::accepting).orElse(null);
+        this.callHandler = Objects.requireNonNull(callHandler, "callHandler");
+    }
+
+    /**
+     * Registers the handler of a topic, in place of an earlier one.
+     *
+     * @param topic the topic; not null
+     * @param handler answers its questions; not null
+     */
+    public void answer(Topic topic, AskHandler handler) {
+        askHandlers.put(topic, handler);
+    }
+
+    /**
+     * Starts to listen.
+     *
+     * @param address IP number and port; port 0 takes a free one; not null
+     * @return the address in use, or the failure
+     */
+    public Either<Failure, InetSocketAddress> start(String address) {
+        return PeerAddress.parse(address)
+                .flatMap(this::bind)
+                .mapLeft(detail -> Failure.of(
+                        ErrorKind.INTERNAL, "The peer listener cannot listen on " + address + ": " + detail + "."));
+    }
+
+    /**
+     * Tells every connected peer, and each that connects later, that this node takes no new calls. Calls that come
+     * nevertheless are refused as {@code draining}; open calls finish.
+     *
+     * @param reason why, in a few words; not null
+     */
+    public void goAway(String reason) {
+        goAwayReason = reason;
+        links.forEach(link -> link.goAway(reason));
+    }
+
+    /**
+     * Returns the number of calls being served.
+     *
+     * @return the number; not negative
+     */
+    public int openCalls() {
+        return links.stream().mapToInt(AcceptedLink::openCalls).sum();
+    }
+
+    /**
+     * Stops listening and closes all accepted links once their last frames are sent. Waits for this 2 s at most. Calls
+     * still open are lost; for a planned stop, call {@link #goAway} first and wait until {@link #openCalls} is zero.
+     */
+    @Override
+    public void close() {
+        closed = true;
+        Channel server = serverChannel;
+        if (server != null) {
+            server.close().awaitUninterruptibly();
+        }
+        List<AcceptedLink> open = List.copyOf(links);
+        open.forEach(link -> link.closeAfterFlush("this node closes its links"));
+        open.forEach(AcceptedLink::awaitClose);
+    }
+
+    CallHandler callHandler() {
+        return callHandler;
+    }
+
+    @Nullable
+    AskHandler askHandler(Topic topic) {
+        return askHandlers.get(topic);
+    }
+
+    @Nullable
+    String goAwayReason() {
+        return goAwayReason;
+    }
+
+    private Either<String, InetSocketAddress> bind(InetSocketAddress address) {
+        ChannelFuture bound = new ServerBootstrap()
+                .group(context.transport().eventLoops())
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.ALLOCATOR, context.transport().allocator())
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel channel) {
+                        accept(channel);
+                    }
+                })
+                .bind(address)
+                .awaitUninterruptibly();
+        if (!bound.isSuccess()) {
+            return Either.left(String.valueOf(bound.cause().getMessage()));
+        }
+        serverChannel = bound.channel();
+        return Either.right((InetSocketAddress) bound.channel().localAddress());
+    }
+
+    private void accept(SocketChannel channel) {
+        FrameChannel frames = FrameChannel.install(
+                channel, tls, context.options().connectTimeoutMs(), context.clock(), context.counters());
+        Thread.ofVirtual().name("link-" + channel.remoteAddress()).start(() -> serve(frames));
+    }
+
+    /** Runs on the link's own thread for as long as the link lives. */
+    private void serve(FrameChannel frames) {
+        Either<String, HostId> peer;
+        try {
+            peer = new Handshake(frames, context.options()).accept();
+        } catch (FrameFormatException e) {
+            peer = Either.left(e.getMessage());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            peer = Either.left("interrupted");
+        }
+        if (peer.isLeft()) {
+            context.counters().countRefusedHandshake();
+            LOG.warn("[peer] Refused the peer at {}: {}", frames.remoteAddress(), peer.getLeft());
+            frames.close("the handshake failed");
+            return;
+        }
+        AcceptedLink link = new AcceptedLink(frames, peer.get(), context, this);
+        links.add(link);
+        try {
+            LOG.info("[peer] Host {} opened a link from {}", peer.get(), frames.remoteAddress());
+            greet(link);
+            link.run(false);
+        } finally {
+            links.remove(link);
+        }
+    }
+
+    /** Covers links that were added while the listener was told to go away or to close. */
+    private void greet(AcceptedLink link) {
+        String leaving = goAwayReason;
+        if (leaving != null) {
+            link.goAway(leaving);
+        }
+        if (closed) {
+            link.close("this node closes its links");
+        }
+    }
+}
--- /dev/null
+++ b/sequoianotch-protocol/src/test/java/org/sequoianotch/protocol/link/Peers.java
@@ -0,0 +1,113 @@
+package org.sequoianotch.protocol.link;
+
+import io.vavr.control.Either;
+import java.io.ByteArrayOutputStream;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeoutException;
+import java.util.function.BooleanSupplier;
+import org.jspecify.annotations.Nullable;
+import org.sequoianotch.error.Failure;
+import org.sequoianotch.model.Criticality;
+import org.sequoianotch.model.DataCentre;
+import org.sequoianotch.model.HostId;
+import org.sequoianotch.model.LoadReport;
+import org.sequoianotch.model.RequestId;
+import org.sequoianotch.model.ServiceName;
+import org.sequoianotch.protocol.AnswerHeader;
+import org.sequoianotch.protocol.AnswerTrailer;
+import org.sequoianotch.protocol.CallHeader;
+import org.sequoianotch.time.SystemClock;
+
+/** Two nodes in one process, connected over loopback. */
+final class Peers implements AutoCloseable {
+    static final AnswerTrailer TRAILER = new AnswerTrailer(1, new LoadReport(2, 10, 3, 2.5));
+    static final AnswerHeader OK = new AnswerHeader(200, List.of(), CallHeader.LENGTH_UNKNOWN);
+    static final String KEY = "a deployment key for tests";
+    static final long WAIT_MS = 10_000;
+    static final long SILENCE_TIMEOUT_MS = 300;
+
+    final Transport transport = Transport.create(2);
+    final LinkCounters callerCounters = new LinkCounters();
+    final LinkCounters calleeCounters = new LinkCounters();
+    final PeerLinks links;
+    final PeerListener listener;
+    final String address;
+
+    Peers(CallHandler handler) {
+        this(handler, options("caller", KEY, null), options("callee", KEY, null));
+    }
+
+    Peers(CallHandler handler, LinkOptions callerOptions, LinkOptions calleeOptions) {
+        links = new PeerLinks(callerOptions, transport, SystemClock.INSTANCE, callerCounters);
+        listener = new PeerListener(calleeOptions, transport, SystemClock.INSTANCE, calleeCounters, handler);
+        address = "127.0.0.1:" + listener.start("127.0.0.1:0").get().getPort();
+    }
+
+    static LinkOptions options(String host, String key, @Nullable TlsOptions tls) {
+        return new LinkOptions(HostId.of(host), DataCentre.of("dc1"), key, 50, SILENCE_TIMEOUT_MS, 2_000, tls);
+    }
+
+    static CallHeader header(String path) {
+        return new CallHeader(
+                new RequestId(1, 2),
+                ServiceName.of("jobbook"),
+                "POST",
+                path,
+                List.of(),
+                WAIT_MS,
+                Criticality.CRITICAL,
+                2,
+                0,
+                null,
+                CallHeader.LENGTH_UNKNOWN);
+    }
+
+    PeerCall open(String path) {
+        return links.open(address, header(path)).get();
+    }
+
+    /** Answers with the path and the body of the call. */
+    static void echo(IncomingCall call) {
+        byte[] body = readAll(call::readBody).get();
+        call.answer(OK);
+        call.writeBody(call.header().path().getBytes());
+        call.writeBody(body);
+        call.end(TRAILER);
+    }
+
+    static Either<Failure, byte[]> answerOf(PeerCall call) {
+        return call.awaitAnswer(WAIT_MS).flatMap(head -> readAll(() -> call.readAnswerBody(WAIT_MS)));
+    }
+
+    static Either<Failure, byte[]> readAll(java.util.function.Supplier<Either<Failure, Optional<byte[]>>> read) {
+        ByteArrayOutputStream all = new ByteArrayOutputStream();
+        while (true) {
+            Either<Failure, Optional<byte[]>> part = read.get();
+            if (part.isLeft()) {
+                return Either.left(part.getLeft());
+            }
+            if (part.get().isEmpty()) {
+                return Either.right(all.toByteArray());
+            }
+            all.writeBytes(part.get().get());
+        }
+    }
+
+    static void await(BooleanSupplier condition) throws Exception {
+        long endNs = System.nanoTime() + WAIT_MS * 1_000_000;
+        while (!condition.getAsBoolean()) {
+            if (System.nanoTime() > endNs) {
+                throw new TimeoutException("The condition did not come true");
+            }
+            Thread.sleep(1);
+        }
+    }
+
+    @Override
+    public void close() {
+        links.close();
+        listener.close();
+        transport.close();
+    }
+}
