--- /dev/null
+++ b/sequoianotch-membership/src/main/java/org/sequoianotch/membership/DatagramSender.java
@@ -0,0 +1,115 @@
+package org.sequoianotch.membership;
+
+import java.util.List;
+import org.jspecify.annotations.Nullable;
+import org.sequoianotch.model.HostId;
+import org.sequoianotch.time.Clock;
+
+/** Builds and sends datagrams with news on board, and runs the gossip rounds. Guarded by the table. */
+final class DatagramSender {
+    private static final int FANOUT = 3;
+    /** Rounds for which a raised configuration revision is gossiped, even if there is no other news. */
+    private static final int REVISION_ROUNDS = 4;
+    /** Keeps a storm of changes below the traffic budget of 4 KB/s for each node. */
+    private static final double GOSSIP_BYTES_PER_MS = 2.5;
+
+    private static final double GOSSIP_BURST_BYTES = 32_768;
+
+    private final MemberTable table;
+    private final MembershipOptions options;
+    private final Clock clock;
+    private final DatagramTransport transport;
+    private final DatagramCodec codec;
+    private final MembershipCounters counters;
+    private double nextRoundAtMs;
+    private double allowanceBytes = GOSSIP_BURST_BYTES;
+    private double refilledAtMs;
+    private int revisionRounds;
+    private long gossipedRevision;
+
+    DatagramSender(
+            MemberTable table,
+            MembershipOptions options,
+            Clock clock,
+            DatagramTransport transport,
+            DatagramCodec codec,
+            MembershipCounters counters) {
+        this.table = table;
+        this.options = options;
+        this.clock = clock;
+        this.transport = transport;
+        this.codec = codec;
+        this.counters = counters;
+        refilledAtMs = clock.monotonicMs();
+    }
+
+    void send(Datagram.Type type, long sequence, Member to) {
+        send(type, sequence, to.peerAddress(), to.host(), to.peerAddress(), to.host());
+    }
+
+    /**
+     * Sends a datagram.
+     *
+     * @param about a host whose state goes first unless it is alive, so that the host can refute it; or null
+     * @return the length in bytes
+     */
+    int send(
+            Datagram.Type type,
+            long sequence,
+            String address,
+            HostId target,
+            String targetAddress,
+            @Nullable HostId about) {
+        Member self = table.self();
+        Datagram head = new Datagram(
+                type,
+                sequence,
+                self.host(),
+                self.peerAddress(),
+                self.configurationRevision(),
+                table.highestRevision(),
+                target,
+                targetAddress,
+                List.of());
+        Member subject = about == null ? null : table.member(about);
+        HostId first = subject == null || subject.state() == MemberState.ALIVE ? null : about;
+        int room = DatagramCodec.MAX_BYTES - DatagramCodec.overheadBytes(head);
+        byte[] payload = codec.encode(head, table.takeNews(room, first));
+        counters.datagramsSent.increment();
+        counters.datagramBytesSent.add(payload.length);
+        transport.send(address, payload);
+        return payload.length;
+    }
+
+    /** Asks for a gossip round in the next tick. */
+    void hurry() {
+        nextRoundAtMs = Math.min(nextRoundAtMs, clock.monotonicMs());
+    }
+
+    boolean isQuiet() {
+        return !table.hasNews() && revisionRounds == 0 && table.highestRevision() == gossipedRevision;
+    }
+
+    void tick(double nowMs) {
+        if (nowMs < nextRoundAtMs) {
+            return;
+        }
+        allowanceBytes = Math.min(GOSSIP_BURST_BYTES, allowanceBytes + (nowMs - refilledAtMs) * GOSSIP_BYTES_PER_MS);
+        refilledAtMs = nowMs;
+        nextRoundAtMs = nowMs + options.gossipIntervalMs();
+        if (isQuiet()) {
+            return;
+        }
+        if (table.highestRevision() > gossipedRevision) {
+            gossipedRevision = table.highestRevision();
+            revisionRounds = REVISION_ROUNDS;
+        }
+        revisionRounds = Math.max(0, revisionRounds - 1);
+        for (Member to : table.sample(table.peersIn(options.dataCentre()), FANOUT)) {
+            if (allowanceBytes < DatagramCodec.MAX_BYTES) {
+                return;
+            }
+            allowanceBytes -= send(Datagram.Type.GOSSIP, 0, to.peerAddress(), to.host(), to.peerAddress(), null);
+        }
+    }
+}
--- /dev/null
+++ b/sequoianotch-membership/src/main/java/org/sequoianotch/membership/MemberTable.java
@@ -0,0 +1,410 @@
+package org.sequoianotch.membership;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import java.util.random.RandomGenerator;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.jspecify.annotations.Nullable;
+import org.sequoianotch.model.DataCentre;
+import org.sequoianotch.model.HostId;
+import org.sequoianotch.model.Instance;
+import org.sequoianotch.time.Clock;
+
+/**
+ * All that a node knows about members, with the news that it still has to pass on.
+ *
+ * <p>Not thread-safe: the table is its own lock, and every use holds it.
+ */
+final class MemberTable {
+    private static final Logger LOG = LogManager.getLogger(MemberTable.class);
+    /** Transmissions of one piece of news for each power of ten of members; the usual factor of published SWIM use. */
+    private static final int RETRANSMIT_FACTOR = 4;
+
+    private final MembershipOptions options;
+    private final Clock clock;
+    private final RandomGenerator random;
+    private final MembershipCounters counters;
+    private final SortedMap<HostId, Entry> entries = new TreeMap<>();
+    private final Map<HostId, Integer> transmissions = new HashMap<>();
+    private final Set<HostId> changed = new LinkedHashSet<>();
+    private final Set<HostId> toForward = new LinkedHashSet<>();
+    private final List<HostId> joined = new ArrayList<>();
+    private Member self;
+    private long highestRevision;
+    private int selfSuspicions;
+
+    MemberTable(MembershipOptions options, Clock clock, RandomGenerator random, MembershipCounters counters) {
+        this.options = options;
+        this.clock = clock;
+        this.random = random;
+        this.counters = counters;
+        long nowMs = clock.nowMs();
+        self = new Member(
+                options.host(),
+                options.dataCentre(),
+                options.region(),
+                options.peerAddress(),
+                nowMs,
+                0,
+                MemberState.ALIVE,
+                nowMs,
+                List.of(),
+                0);
+        replaceSelf(self);
+    }
+
+    /** One member with what is derived from it. */
+    static final class Entry {
+        final Member member;
+        final byte[] encoded;
+        final long digest;
+        final double suspectedAtMs;
+
+        Entry(Member member, double suspectedAtMs) {
+            this.member = member;
+            this.encoded = MemberCodec.encode(member);
+            this.digest = Digests.of(member);
+            this.suspectedAtMs = suspectedAtMs;
+        }
+    }
+
+    Member self() {
+        return self;
+    }
+
+    long highestRevision() {
+        return highestRevision;
+    }
+
+    void announce(List<Instance> instances) {
+        if (!instances.equals(self.instances())) {
+            replaceSelf(self.withInstances(instances));
+        }
+    }
+
+    void leave() {
+        replaceSelf(self.withState(MemberState.LEFT, clock.nowMs()));
+    }
+
+    void setRevision(long revision) {
+        if (revision > self.configurationRevision()) {
+            self = self.withConfigurationRevision(revision);
+            entries.put(self.host(), new Entry(self, 0));
+            changed.add(self.host());
+        }
+        noteRevision(revision);
+    }
+
+    void noteRevision(long revision) {
+        if (revision > highestRevision) {
+            highestRevision = revision;
+            // The view changes although no member did.
+            changed.add(self.host());
+        }
+    }
+
+    void noteMemberRevision(HostId host, long revision) {
+        Entry entry = entries.get(host);
+        if (entry != null && !host.equals(self.host()) && entry.member.configurationRevision() < revision) {
+            entries.put(host, new Entry(entry.member.withConfigurationRevision(revision), entry.suspectedAtMs));
+            changed.add(host);
+        }
+    }
+
+    void mergeAll(Collection<Member> news) {
+        news.forEach(this::merge);
+    }
+
+    private void merge(Member news) {
+        if (news.host().equals(self.host())) {
+            mergeSelf(news);
+            return;
+        }
+        Entry entry = entries.get(news.host());
+        if (entry == null) {
+            if (!isForgotten(news)) {
+                put(news);
+            }
+            return;
+        }
+        Member known = entry.member;
+        Member merged = known.merge(softened(known, news));
+        if (merged.isNewsFor(known)) {
+            put(merged);
+        } else if (!merged.equals(known)) {
+            entries.put(known.host(), new Entry(merged, entry.suspectedAtMs));
+            changed.add(known.host());
+        }
+    }
+
+    /**
+     * A loss reported about a member that is alive here becomes a suspicion first. After a partition, both sides have
+     * declared each other failed; without this the merge would evict healthy members until they refuted.
+     */
+    private Member softened(Member known, Member news) {
+        boolean sudden = news.state() == MemberState.FAILED
+                && known.state() == MemberState.ALIVE
+                && news.incarnation() >= known.incarnation()
+                && isLocal(news);
+        return sudden ? news.withState(MemberState.SUSPECT, clock.nowMs()) : news;
+    }
+
+    private void mergeSelf(Member news) {
+        boolean refutes = self.state() != MemberState.LEFT && news.isNewsFor(self);
+        if (refutes) {
+            if (news.state() != MemberState.ALIVE) {
+                counters.suspicionsRefuted.increment();
+                selfSuspicions++;
+            }
+            replaceSelf(self.withIncarnation(news.incarnation() + 1, clock.nowMs()));
+        }
+    }
+
+    void declare(HostId host, MemberState state) {
+        Entry entry = entries.get(host);
+        if (entry != null && state.overrides(entry.member.state())) {
+            put(entry.member.withState(state, clock.nowMs()));
+        }
+    }
+
+    /** Returns the suspicions about this node since the last call. */
+    int takeSelfSuspicions() {
+        int taken = selfSuspicions;
+        selfSuspicions = 0;
+        return taken;
+    }
+
+    private void replaceSelf(Member member) {
+        self = member;
+        put(member);
+    }
+
+    private void put(Member member) {
+        HostId host = member.host();
+        Entry old = entries.get(host);
+        boolean stillSuspect = old != null
+                && old.member.state() == MemberState.SUSPECT
+                && old.member.incarnation() == member.incarnation();
+        entries.put(host, new Entry(member, stillSuspect ? old.suspectedAtMs : clock.monotonicMs()));
+        transmissions.put(host, 0);
+        changed.add(host);
+        noteStateChange(old == null ? null : old.member, member);
+        if (isLocal(member) && member.state() != MemberState.SUSPECT) {
+            toForward.add(host);
+        }
+    }
+
+    private void noteStateChange(@Nullable Member old, Member member) {
+        if (old != null && old.state() == member.state() && old.incarnation() == member.incarnation()) {
+            return;
+        }
+        LOG.info("[member] {} in {} is {}", member.host(), member.dataCentre(), member.state());
+        boolean isBack =
+                member.state().isReachable() && (old == null || !old.state().isReachable());
+        if (isBack && isLocal(member) && !member.host().equals(options.host())) {
+            joined.add(member.host());
+        }
+    }
+
+    /** Returns the local members that became reachable since the last call. */
+    List<HostId> takeJoined() {
+        List<HostId> taken = List.copyOf(joined);
+        joined.clear();
+        return taken;
+    }
+
+    void removeForgotten() {
+        entries.values().removeIf(entry -> isForgotten(entry.member));
+    }
+
+    private boolean isForgotten(Member member) {
+        return isDeadFor(member, options.deadRetentionMs() + options.tombstoneRetentionMs());
+    }
+
+    private boolean isDeadFor(Member member, long durationMs) {
+        return !member.state().isReachable() && clock.nowMs() - member.stateSinceMs() > durationMs;
+    }
+
+    boolean isLocal(Member member) {
+        return member.dataCentre().equals(options.dataCentre());
+    }
+
+    @Nullable
+    Entry entry(HostId host) {
+        return entries.get(host);
+    }
+
+    @Nullable
+    Member member(HostId host) {
+        Entry entry = entries.get(host);
+        return entry == null ? null : entry.member;
+    }
+
+    Collection<Entry> entries() {
+        return entries.values();
+    }
+
+    /** Returns the reachable members of a data centre but this node, by host id. */
+    List<Member> peersIn(DataCentre dataCentre) {
+        List<Member> peers = new ArrayList<>();
+        for (Entry entry : entries.values()) {
+            Member member = entry.member;
+            if (member.state().isReachable()
+                    && member.dataCentre().equals(dataCentre)
+                    && !member.host().equals(self.host())) {
+                peers.add(member);
+            }
+        }
+        return peers;
+    }
+
+    List<Member> failedLocalPeers() {
+        return entries.values().stream()
+                .map(entry -> entry.member)
+                .filter(member -> member.state() == MemberState.FAILED && isLocal(member))
+                .filter(member -> !isDeadFor(member, options.deadRetentionMs()))
+                .toList();
+    }
+
+    /** Tells whether this node is one of the given number of reachable local members with the lowest host ids. */
+    boolean isAmongLowest(int count) {
+        int lower = 0;
+        for (Entry entry : entries.values()) {
+            if (entry.member.host().equals(self.host())) {
+                return lower < count;
+            }
+            if (entry.member.state().isReachable() && isLocal(entry.member)) {
+                lower++;
+            }
+        }
+        return false;
+    }
+
+    SortedMap<DataCentre, Long> digests() {
+        SortedMap<DataCentre, Long> digests = new TreeMap<>();
+        for (Entry entry : entries.values()) {
+            if (!isForgotten(entry.member)) {
+                digests.merge(entry.member.dataCentre(), entry.digest, Long::sum);
+            }
+        }
+        return digests;
+    }
+
+    List<ExchangeCodec.Version> versionsIn(DataCentre dataCentre) {
+        return entries.values().stream()
+                .map(entry -> entry.member)
+                .filter(member -> member.dataCentre().equals(dataCentre) && !isForgotten(member))
+                .map(ExchangeCodec.Version::of)
+                .toList();
+    }
+
+    boolean hasNews() {
+        return !transmissions.isEmpty();
+    }
+
+    /** Takes the news that was passed on least often, up to a size, and counts it as passed on once more. */
+    List<byte[]> takeNews(int roomBytes, @Nullable HostId first) {
+        List<byte[]> taken = new ArrayList<>();
+        int room = roomBytes;
+        Entry preferred = first == null ? null : entries.get(first);
+        if (preferred != null && preferred.encoded.length <= room) {
+            taken.add(preferred.encoded);
+            room -= preferred.encoded.length;
+        }
+        if (transmissions.isEmpty()) {
+            return taken;
+        }
+        List<Map.Entry<HostId, Integer>> byCount = new ArrayList<>(transmissions.entrySet());
+        byCount.sort(Comparator.<Map.Entry<HostId, Integer>>comparingInt(Map.Entry::getValue)
+                .thenComparing(Map.Entry::getKey));
+        int limit = transmissionLimit();
+        for (Map.Entry<HostId, Integer> news : byCount) {
+            HostId host = news.getKey();
+            Entry entry = entries.get(host);
+            if (entry == null) {
+                transmissions.remove(host);
+                continue;
+            }
+            boolean repeated = host.equals(first);
+            if (!repeated && entry.encoded.length > room) {
+                continue;
+            }
+            if (!repeated) {
+                taken.add(entry.encoded);
+                room -= entry.encoded.length;
+            }
+            if (news.getValue() + 1 >= limit) {
+                transmissions.remove(host);
+            } else {
+                transmissions.put(host, news.getValue() + 1);
+            }
+        }
+        return taken;
+    }
+
+    private int transmissionLimit() {
+        int group = peersIn(options.dataCentre()).size() + 1;
+        return RETRANSMIT_FACTOR * (int) Math.ceil(Math.log10(group + 1.0));
+    }
+
+    List<byte[]> takeForwards() {
+        List<byte[]> records = new ArrayList<>();
+        for (HostId host : toForward) {
+            Entry entry = entries.get(host);
+            if (entry != null) {
+                records.add(entry.encoded);
+            }
+        }
+        toForward.clear();
+        return records;
+    }
+
+    boolean hasForwards() {
+        return !toForward.isEmpty();
+    }
+
+    List<Member> takeChanged() {
+        List<Member> members = new ArrayList<>();
+        for (HostId host : changed) {
+            Entry entry = entries.get(host);
+            if (entry != null) {
+                members.add(entry.member);
+            }
+        }
+        changed.clear();
+        return members;
+    }
+
+    boolean hasChanged() {
+        return !changed.isEmpty();
+    }
+
+    MembershipView view() {
+        List<Member> shown = entries.values().stream()
+                .map(entry -> entry.member)
+                .filter(member -> !isDeadFor(member, options.deadRetentionMs()))
+                .toList();
+        return MembershipView.of(shown, highestRevision);
+    }
+
+    <T> List<T> sample(List<T> from, int count) {
+        List<T> pool = new ArrayList<>(from);
+        int size = Math.min(count, pool.size());
+        for (int i = 0; i < size; i++) {
+            int other = i + random.nextInt(pool.size() - i);
+            T swapped = pool.get(i);
+            pool.set(i, pool.get(other));
+            pool.set(other, swapped);
+        }
+        return pool.subList(0, size);
+    }
+}
--- /dev/null
+++ b/sequoianotch-membership/src/main/java/org/sequoianotch/membership/Membership.java
@@ -0,0 +1,329 @@
+package org.sequoianotch.membership;
+
+import io.vavr.control.Either;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.Executor;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.random.RandomGenerator;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.jspecify.annotations.Nullable;
+import org.sequoianotch.error.Failure;
+import org.sequoianotch.model.Instance;
+import org.sequoianotch.protocol.link.AskHandler;
+import org.sequoianotch.protocol.link.Asker;
+import org.sequoianotch.time.Clock;
+
+/**
+ * Membership of one node: it announces the node and its instances, watches the other nodes of the data centre and
+ * learns the nodes of all data centres.
+ *
+ * <p>Use: construct, pass {@link #askHandler} to the peer listener, {@link #start}, {@link #announce} whenever the
+ * backend server's announcement changes, read {@link #view}; before the process stops, {@link #leave} and
+ * {@link #close}. This class is thread-safe.
+ */
+public final class Membership implements AutoCloseable {
+    private static final Logger LOG = LogManager.getLogger(Membership.class);
+    private static final long MAX_TICK_MS = 50;
+    private static final long MAINTENANCE_INTERVAL_MS = 60_000;
+    /** Gossip rounds for which {@link #leave} waits at most. */
+    private static final int LEAVE_ROUNDS = 10;
+
+    private final MembershipOptions options;
+    private final Clock clock;
+    private final DatagramTransport transport;
+    private final Executor executor;
+    private final DatagramCodec codec;
+    private final MembershipCounters counters = new MembershipCounters();
+    private final MemberTable table;
+    private final DatagramSender sender;
+    private final FailureDetector detector;
+    private final Exchanger exchanger;
+    private final List<MembershipListener> listeners = new CopyOnWriteArrayList<>();
+    private final AtomicInteger deliveries = new AtomicInteger();
+    private double nextMaintenanceAtMs;
+    private volatile MembershipView view;
+    private volatile @Nullable Thread scheduler;
+    private volatile boolean closed;
+
+    /**
+     * Creates a membership that is not started.
+     *
+     * @param options the settings; not null
+     * @param clock the clock; not null
+     * @param random source of random choices; not null, used under the membership's own lock only
+     * @param transport sends and receives datagrams; not null, owned and closed by this object
+     * @param asker reaches other nodes over links; not null
+     */
+    public Membership(
+            MembershipOptions options, Clock clock, RandomGenerator random, DatagramTransport transport, Asker asker) {
+        this(options, clock, random, transport, asker, Membership::runOnVirtualThread);
+    }
+
+    /** Creates a membership whose blocking work runs on the given executor, for tests that step the time. */
+    Membership(
+            MembershipOptions options,
+            Clock clock,
+            RandomGenerator random,
+            DatagramTransport transport,
+            Asker asker,
+            Executor executor) {
+        this.options = options;
+        this.clock = clock;
+        this.transport = transport;
+        this.executor = executor;
+        codec = new DatagramCodec(options.deploymentKey());
+        double nowMs = clock.monotonicMs();
+        table = new MemberTable(options, clock, random, counters);
+        sender = new DatagramSender(table, options, clock, transport, codec, counters);
+        detector = new FailureDetector(table, options, random, sender, counters, nowMs);
+        exchanger = new Exchanger(table, options, random, asker, counters, this::deliver, nowMs);
+        nextMaintenanceAtMs = nowMs + MAINTENANCE_INTERVAL_MS;
+        view = table.view();
+    }
+
+    private static void runOnVirtualThread(Runnable work) {
+        Thread.ofVirtual().name("member-exchange").start(work);
+    }
+
+    /**
+     * Starts to receive, to join by the seeds and to probe.
+     *
+     * @return the local UDP address, or the failure that prevented the start
+     */
+    public Either<Failure, String> start() {
+        Either<Failure, String> started = startReceiving();
+        started.peek(address -> {
+            scheduler = Thread.ofVirtual().name("member-" + options.host()).start(this::runTicks);
+        });
+        return started;
+    }
+
+    /** Starts without a scheduler; the caller steps {@link #tick}. */
+    Either<Failure, String> startReceiving() {
+        return transport.start(this::receive);
+    }
+
+    private void runTicks() {
+        long tickMs = Math.clamp(options.gossipIntervalMs() / 4, 1, MAX_TICK_MS);
+        try {
+            while (!closed) {
+                try {
+                    tick();
+                } catch (RuntimeException e) {
+                    LOG.error("[member] A step of the membership failed", e);
+                }
+                clock.sleep(tickMs);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Does everything that is due now. */
+    void tick() {
+        List<Runnable> work;
+        double nowMs = clock.monotonicMs();
+        synchronized (table) {
+            detector.tick(nowMs);
+            sender.tick(nowMs);
+            work = exchanger.tick(nowMs);
+            if (nowMs >= nextMaintenanceAtMs) {
+                nextMaintenanceAtMs = nowMs + MAINTENANCE_INTERVAL_MS;
+                table.removeForgotten();
+                view = table.view();
+            }
+        }
+        deliver();
+        work.forEach(executor::execute);
+    }
+
+    /**
+     * Returns what this node knows now.
+     *
+     * @return a snapshot, never null
+     */
+    public MembershipView view() {
+        return view;
+    }
+
+    /**
+     * Announces the instances of this host's backend server; other nodes hear of them within seconds.
+     *
+     * @param instances the instances; not null, at most eight; their host, data centre, region and peer address are
+     *     replaced by this node's
+     * @throws IllegalArgumentException if there are more than eight
+     */
+    public void announce(List<Instance> instances) {
+        MemberCodec.checkedSize(instances.size(), MemberCodec.MAX_INSTANCES);
+        List<Instance> own = instances.stream().map(this::owned).toList();
+        synchronized (table) {
+            table.announce(own);
+            sender.hurry();
+        }
+        deliver();
+    }
+
+    private Instance owned(Instance instance) {
+        return new Instance(
+                instance.service(),
+                options.host(),
+                options.dataCentre(),
+                options.region(),
+                options.peerAddress(),
+                instance.slots(),
+                instance.state(),
+                instance.startedAtMs());
+    }
+
+    /**
+     * Sets the configuration revision in force on this node. A lower revision than before is ignored.
+     *
+     * @param revision the revision
+     */
+    public void setConfigurationRevision(long revision) {
+        synchronized (table) {
+            table.setRevision(revision);
+            sender.hurry();
+        }
+        deliver();
+    }
+
+    /**
+     * Announces that this node leaves, and waits until the news was passed on often enough, at most ten gossip
+     * intervals. Afterwards the node no longer refutes and no longer probes.
+     *
+     * @return true if the news was passed on in time
+     * @throws InterruptedException if the thread is interrupted while waiting
+     */
+    public boolean leave() throws InterruptedException {
+        beginLeave();
+        double deadlineMs = clock.monotonicMs() + (double) options.gossipIntervalMs() * LEAVE_ROUNDS;
+        while (!hasPassedNewsOn() && clock.monotonicMs() < deadlineMs) {
+            clock.sleep(Math.min(MAX_TICK_MS, options.gossipIntervalMs()));
+        }
+        return hasPassedNewsOn();
+    }
+
+    void beginLeave() {
+        synchronized (table) {
+            table.leave();
+            sender.hurry();
+        }
+        deliver();
+    }
+
+    boolean hasPassedNewsOn() {
+        synchronized (table) {
+            boolean alone = table.peersIn(options.dataCentre()).isEmpty();
+            return (alone || sender.isQuiet()) && !table.hasForwards();
+        }
+    }
+
+    /** Stops without an announcement and closes the transport. */
+    @Override
+    public void close() {
+        closed = true;
+        Thread running = scheduler;
+        if (running != null) {
+            running.interrupt();
+        }
+        transport.close();
+    }
+
+    /**
+     * Returns the handler of questions with the topic {@code MEMBERSHIP}.
+     *
+     * @return the handler, never null
+     */
+    public AskHandler askHandler() {
+        return (from, payload) -> exchanger.answer(payload);
+    }
+
+    /**
+     * Adds a listener.
+     *
+     * @param listener called after each change; not null
+     */
+    public void addListener(MembershipListener listener) {
+        listeners.add(listener);
+    }
+
+    /**
+     * Returns the counters.
+     *
+     * @return the live counters, never null
+     */
+    public MembershipCounters counters() {
+        return counters;
+    }
+
+    private void receive(byte[] payload) {
+        counters.datagramsReceived.increment();
+        counters.datagramBytesReceived.add(payload.length);
+        Datagram datagram;
+        try {
+            datagram = codec.decode(payload);
+        } catch (IllegalArgumentException e) {
+            counters.datagramsDropped.increment();
+            LOG.debug("[member] A datagram was dropped: {}", e.getMessage());
+            return;
+        }
+        synchronized (table) {
+            handle(datagram);
+        }
+        deliver();
+    }
+
+    private void handle(Datagram datagram) {
+        table.noteRevision(datagram.highestRevision());
+        table.mergeAll(datagram.news());
+        table.noteMemberRevision(datagram.from(), datagram.revision());
+        if (table.entry(datagram.from()) == null) {
+            exchanger.onUnknownSender(datagram.fromAddress());
+        }
+        switch (datagram.type()) {
+            case PING -> detector.onPing(datagram);
+            case PING_REQUEST -> detector.onPingRequest(datagram, clock.monotonicMs());
+            case ACK -> detector.onAck(datagram);
+            case NACK -> detector.onNack(datagram);
+            case GOSSIP -> {
+                // The news on board is all there is.
+            }
+            default -> throw new IllegalStateException("Unexpected datagram type " + datagram.type());
+        }
+    }
+
+    /** Renews the view and tells the listeners, one thread at a time and without holding the lock. */
+    private void deliver() {
+        if (deliveries.getAndIncrement() != 0) {
+            return;
+        }
+        int seen = 1;
+        do {
+            deliverOnce();
+            seen = deliveries.addAndGet(-seen);
+        } while (seen != 0);
+    }
+
+    private void deliverOnce() {
+        List<Member> changed;
+        MembershipView renewed;
+        synchronized (table) {
+            if (!table.hasChanged()) {
+                return;
+            }
+            changed = table.takeChanged();
+            renewed = table.view();
+            view = renewed;
+        }
+        for (MembershipListener listener : listeners) {
+            try {
+                listener.membershipChanged(renewed, changed);
+            } catch (RuntimeException e) {
+                LOG.error("[member] A listener failed", e);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/sequoianotch-membership/src/main/java/org/sequoianotch/membership/MembershipView.java
@@ -0,0 +1,137 @@
+package org.sequoianotch.membership;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import org.sequoianotch.model.DataCentre;
+import org.sequoianotch.model.HostId;
+import org.sequoianotch.model.Instance;
+import org.sequoianotch.model.ServiceName;
+
+/**
+ * Snapshot of the members that a node knows.
+ *
+ * <p>This type is immutable. Lists are in the order of the host ids.
+ */
+public final class MembershipView {
+    private final SortedMap<HostId, Member> members = new TreeMap<>();
+    private final SortedMap<DataCentre, List<Member>> byDataCentre = new TreeMap<>();
+    private final Map<ServiceName, List<Instance>> byService = new HashMap<>();
+    private final Map<MemberState, Integer> counts = new EnumMap<>(MemberState.class);
+    private final long highestConfigurationRevision;
+
+    private MembershipView(Collection<Member> known, long highestConfigurationRevision) {
+        this.highestConfigurationRevision = highestConfigurationRevision;
+        known.forEach(member -> members.put(member.host(), member));
+        for (Member member : members.values()) {
+            counts.merge(member.state(), 1, Integer::sum);
+            byDataCentre
+                    .computeIfAbsent(member.dataCentre(), key -> new ArrayList<>())
+                    .add(member);
+            if (member.state().isReachable()) {
+                member.instances().stream()
+                        .filter(instance -> instance.state().acceptsWork())
+                        .forEach(instance -> byService
+                                .computeIfAbsent(instance.service(), key -> new ArrayList<>())
+                                .add(instance));
+            }
+        }
+        byDataCentre.replaceAll((key, list) -> List.copyOf(list));
+        byService.replaceAll((key, list) -> List.copyOf(list));
+    }
+
+    /**
+     * Creates a view.
+     *
+     * @param members the members, each host once; not null
+     * @param highestConfigurationRevision highest configuration revision heard of
+     * @return the view, never null
+     */
+    public static MembershipView of(Collection<Member> members, long highestConfigurationRevision) {
+        return new MembershipView(members, highestConfigurationRevision);
+    }
+
+    /**
+     * Returns all members, also those that left or failed a short time ago.
+     *
+     * @return the members, never null
+     */
+    public List<Member> members() {
+        return List.copyOf(members.values());
+    }
+
+    /**
+     * Finds the member of a host.
+     *
+     * @param host the host; not null
+     * @return the member, or empty if the host is not known
+     */
+    public Optional<Member> member(HostId host) {
+        return Optional.ofNullable(members.get(host));
+    }
+
+    /**
+     * Returns the members of a data centre, in any state.
+     *
+     * @param dataCentre the data centre; not null
+     * @return the members, never null, empty if the data centre is not known
+     */
+    public List<Member> membersOf(DataCentre dataCentre) {
+        return byDataCentre.getOrDefault(dataCentre, List.of());
+    }
+
+    /**
+     * Returns the data centres that have a known member.
+     *
+     * @return the data centres, never null
+     */
+    public Set<DataCentre> dataCentres() {
+        return Set.copyOf(byDataCentre.keySet());
+    }
+
+    /**
+     * Returns the instances of a service that accept work: the member is alive or suspected and the instance is not
+     * draining.
+     *
+     * @param service the service; not null
+     * @return the instances, never null, may be empty
+     */
+    public List<Instance> instancesOf(ServiceName service) {
+        return byService.getOrDefault(service, List.of());
+    }
+
+    /**
+     * Returns the services that have an instance which accepts work.
+     *
+     * @return the services, never null
+     */
+    public Set<ServiceName> services() {
+        return Set.copyOf(byService.keySet());
+    }
+
+    /**
+     * Counts the members in a state.
+     *
+     * @param state the state; not null
+     * @return the number of members, never negative
+     */
+    public int count(MemberState state) {
+        return counts.getOrDefault(state, 0);
+    }
+
+    /**
+     * Returns the highest configuration revision that any member has been heard to know.
+     *
+     * @return the revision, zero if none is known
+     */
+    public long highestConfigurationRevision() {
+        return highestConfigurationRevision;
+    }
+}
