Add the ledger of idempotency keys

A keyed request is sent only after a majority of the ledger hosts of the key's home granted a write-once claim. Hosts sync claims before they answer, and a host that lost its claims copies them before it serves. Not tested yet.

--- /dev/null
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/ledger/ClaimRound.java
@@ -0,0 +1,166 @@
+package org.sequoianotch.daemon.ledger;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.StringJoiner;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Answers of the ledger hosts to one claim, and the decision that follows from them.
+ *
+ * <p>A grant counts only if no other grant reports a later life of its host: that host lost its memory after it gave
+ * the grant, and may have granted the key to another claim since. This class is not thread-safe.
+ */
+final class ClaimRound {
+    private final List<String> members;
+    private final Fingerprint fingerprint;
+    private final Map<String, LedgerReply> replies = new LinkedHashMap<>();
+    private final Map<String, String> failures = new LinkedHashMap<>();
+
+    ClaimRound(Collection<String> members, Fingerprint fingerprint) {
+        this.members = List.copyOf(members);
+        this.fingerprint = fingerprint;
+    }
+
+    /** Takes one answer and tells whether the round is decided. */
+    boolean accept(LedgerPeers.Answer answer) {
+        answer.reply()
+                .peek(reply -> replies.put(answer.address(), reply))
+                .peekLeft(failure -> failures.put(answer.address(), failure.detail()));
+        return owned() || completed() != null || holderOfMajority() != null;
+    }
+
+    /** Tells whether a majority granted the key to this claim. */
+    boolean owned() {
+        long grants = replies.entrySet().stream()
+                .filter(entry -> entry.getValue() instanceof LedgerReply.Granted granted
+                        && !superseded(entry.getKey(), granted.life()))
+                .count();
+        return grants >= majority() && completed() == null;
+    }
+
+    /** Returns the hosts that may hold this claim. */
+    List<String> possibleHolders() {
+        return members.stream()
+                .filter(member -> !replies.containsKey(member) || replies.get(member) instanceof LedgerReply.Granted)
+                .toList();
+    }
+
+    /** Returns what to tell the caller if the key is not owned. */
+    ClaimResult refusal() {
+        LedgerReply.Holder decisive = completed();
+        if (decisive == null) {
+            decisive = holderOfMajority();
+        }
+        if (decisive != null) {
+            return refusal(decisive);
+        }
+        for (LedgerReply.Holder holder : holders()) {
+            boolean mayOwn = count(holder.claimId()) + silentHosts() >= majority();
+            if (!holder.running() && mayOwn) {
+                return new ClaimResult.InDoubt("An earlier attempt holds the key at a part of the ledger hosts.");
+            }
+        }
+        if (!holders().isEmpty()) {
+            return new ClaimResult.InProgress("Another attempt competes for the key.");
+        }
+        for (LedgerReply reply : replies.values()) {
+            if (reply instanceof LedgerReply.Refused refused && refused.reason().doubt()) {
+                return new ClaimResult.InDoubt("The ledger cannot rule out that the request has run: "
+                        + refused.reason().phrase() + ".");
+            }
+        }
+        return new ClaimResult.Unreachable(describe());
+    }
+
+    private ClaimResult refusal(LedgerReply.Holder holder) {
+        KeptAnswer answer = holder.answer();
+        if (!holder.fingerprint().equals(fingerprint)) {
+            return new ClaimResult.Reused("The key was used for another method, path or body length.");
+        }
+        if (answer != null) {
+            return new ClaimResult.Completed(answer);
+        }
+        if (holder.running()) {
+            return new ClaimResult.InProgress("Another attempt owns the key, and its deadline has not passed.");
+        }
+        return new ClaimResult.InDoubt("An earlier attempt owned the key and ended without a known answer.");
+    }
+
+    private boolean superseded(String address, Life life) {
+        return replies.values().stream()
+                .anyMatch(reply -> reply instanceof LedgerReply.Granted granted
+                        && granted.lives().getOrDefault(address, Life.NONE).number() > life.number());
+    }
+
+    private LedgerReply.@Nullable Holder completed() {
+        for (LedgerReply.Holder holder : holders()) {
+            if (holder.answer() != null) {
+                return holder;
+            }
+        }
+        return null;
+    }
+
+    /** Returns the claim that a majority holds; it counts as ended if one host knows that it has ended. */
+    private LedgerReply.@Nullable Holder holderOfMajority() {
+        Map<ClaimId, LedgerReply.Holder> ended = new HashMap<>();
+        for (LedgerReply.Holder holder : holders()) {
+            ended.merge(holder.claimId(), holder, (one, other) -> one.running() ? other : one);
+        }
+        for (LedgerReply.Holder holder : ended.values()) {
+            if (count(holder.claimId()) >= majority()) {
+                return holder;
+            }
+        }
+        return null;
+    }
+
+    private List<LedgerReply.Holder> holders() {
+        List<LedgerReply.Holder> holders = new ArrayList<>();
+        for (LedgerReply reply : replies.values()) {
+            if (reply instanceof LedgerReply.Held held) {
+                holders.addAll(held.holders());
+            }
+        }
+        return holders;
+    }
+
+    private long count(ClaimId claimId) {
+        return holders().stream()
+                .filter(holder -> holder.claimId().equals(claimId))
+                .count();
+    }
+
+    /** Returns the number of hosts that may hold any claim without our knowledge. */
+    private long silentHosts() {
+        return members.stream()
+                .filter(member -> !replies.containsKey(member) || replies.get(member) instanceof LedgerReply.Refused)
+                .count();
+    }
+
+    private int majority() {
+        return members.size() / 2 + 1;
+    }
+
+    private String describe() {
+        StringJoiner sentences = new StringJoiner(" ");
+        for (String member : members) {
+            LedgerReply reply = replies.get(member);
+            if (reply instanceof LedgerReply.Refused refused) {
+                sentences.add("Ledger host " + member + " refused: "
+                        + refused.reason().phrase() + ".");
+            } else if (reply instanceof LedgerReply.Granted) {
+                sentences.add("Ledger host " + member + " granted the claim.");
+            } else {
+                sentences.add("Ledger host " + member + " did not answer: "
+                        + failures.getOrDefault(member, "the time was up."));
+            }
+        }
+        return sentences.toString();
+    }
+}
--- /dev/null
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/ledger/KeptAnswer.java
@@ -0,0 +1,92 @@
+package org.sequoianotch.daemon.ledger;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Objects;
+import org.jspecify.annotations.Nullable;
+import org.sequoianotch.protocol.HeaderField;
+
+/**
+ * The answer of a backend server to a keyed request, kept for repeats of the request.
+ *
+ * <p>An answer whose headers and body exceed {@link #MAX_BYTES} is kept as its status and the remark that it was too
+ * large. This type is immutable; it copies the body in and out.
+ *
+ * @param status the HTTP status
+ * @param headers the HTTP headers; not null, empty if the answer was too large
+ * @param body the whole body; not null, empty if the answer was too large
+ * @param tooLarge whether the answer was too large to keep
+ */
+public record KeptAnswer(int status, List<HeaderField> headers, byte[] body, boolean tooLarge) {
+    /** Largest size of headers and body that is kept, in bytes. */
+    public static final int MAX_BYTES = 65_536;
+
+    // Room in the size limit for the encoding of one header field.
+    private static final int HEADER_OVERHEAD_BYTES = 6;
+
+    /** Checks and copies the components. */
+    public KeptAnswer {
+        headers = List.copyOf(headers);
+        body = body.clone();
+        if (status < 100 || status > 599 || sizeBytes(headers, body) > MAX_BYTES) {
+            throw new IllegalArgumentException("The status " + status + " or the size of an answer is out of range");
+        }
+    }
+
+    /**
+     * Creates the answer to keep.
+     *
+     * @param status the HTTP status; from 100 to 599
+     * @param headers the HTTP headers; not null
+     * @param body the whole body; not null
+     * @return the answer, or the remark that it was too large; never null
+     */
+    public static KeptAnswer of(int status, List<HeaderField> headers, byte[] body) {
+        return sizeBytes(headers, body) > MAX_BYTES ? tooLarge(status) : new KeptAnswer(status, headers, body, false);
+    }
+
+    /**
+     * Creates the remark that an answer was too large to keep.
+     *
+     * @param status the HTTP status; from 100 to 599
+     * @return the remark, never null
+     */
+    public static KeptAnswer tooLarge(int status) {
+        return new KeptAnswer(status, List.of(), new byte[0], true);
+    }
+
+    @Override
+    public byte[] body() {
+        return body.clone();
+    }
+
+    @Override
+    public boolean equals(@Nullable Object other) {
+        return other instanceof KeptAnswer answer
+                && status == answer.status
+                && tooLarge == answer.tooLarge
+                && headers.equals(answer.headers)
+                && Arrays.equals(body, answer.body);
+    }
+
+    @Override
+    public int hashCode() {
+        return Objects.hash(status, headers, Arrays.hashCode(body), tooLarge);
+    }
+
+    /** Returns the size of headers and body, in bytes. */
+    int sizeBytes() {
+        return sizeBytes(headers, body);
+    }
+
+    private static int sizeBytes(List<HeaderField> headers, byte[] body) {
+        long size = body.length;
+        for (HeaderField header : headers) {
+            size += HEADER_OVERHEAD_BYTES
+                    + header.name().getBytes(StandardCharsets.UTF_8).length
+                    + header.value().getBytes(StandardCharsets.UTF_8).length;
+        }
+        return (int) Math.min(Integer.MAX_VALUE, size);
+    }
+}
--- /dev/null
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/ledger/LedgerClient.java
@@ -0,0 +1,155 @@
+package org.sequoianotch.daemon.ledger;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Executor;
+import java.util.concurrent.Executors;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.random.RandomGenerator;
+import org.jspecify.annotations.Nullable;
+import org.sequoianotch.model.DataCentre;
+import org.sequoianotch.protocol.link.Asker;
+import org.sequoianotch.time.Clock;
+
+/**
+ * The ledger as a node uses it: it asks all ledger hosts of the key's home in parallel and owns a key only after a
+ * majority granted it to this very claim.
+ *
+ * <p>This class is thread-safe.
+ */
+public final class LedgerClient implements Ledger {
+    // Two round trips between regions and a slow sync take about 100 ms; a silent host must not hold a request longer.
+    private static final long CLAIM_TIMEOUT_MS = 1_000;
+    private static final long RELEASE_TIMEOUT_MS = 500;
+    // A lost question or answer is repeated; the messages may arrive twice without harm.
+    private static final int ATTEMPTS = 3;
+
+    private final Map<DataCentre, List<String>> hosts;
+    private final LedgerPeers peers;
+    private final RandomGenerator random;
+    private final LedgerCounters counters;
+
+    private LedgerClient(
+            Map<DataCentre, List<String>> hosts, LedgerPeers peers, RandomGenerator random, LedgerCounters counters) {
+        Map<DataCentre, List<String>> copy = new HashMap<>();
+        hosts.forEach((dataCentre, addresses) -> copy.put(dataCentre, List.copyOf(addresses)));
+        this.hosts = Map.copyOf(copy);
+        this.peers = peers;
+        this.random = random;
+        this.counters = counters;
+    }
+
+    /**
+     * Creates a client.
+     *
+     * @param hosts the peer addresses of the ledger hosts of each data centre; not null
+     * @param asker asks other nodes; not null
+     * @param clock the clock; not null
+     * @param random source of randomness that does not repeat over restarts, such as {@code SecureRandom}; not null
+     * @param counters the counters of the node; not null
+     * @param localHost the ledger host on this node, which is called without the network, or null if there is none
+     * @return the client, never null
+     */
+    public static LedgerClient of(
+            Map<DataCentre, List<String>> hosts,
+            Asker asker,
+            Clock clock,
+            RandomGenerator random,
+            LedgerCounters counters,
+            @Nullable LedgerHost localHost) {
+        Executor executor = Executors.newThreadPerTaskExecutor(
+                Thread.ofVirtual().name("ledger-claim-", 0).factory());
+        return of(hosts, asker, clock, random, counters, localHost, executor);
+    }
+
+    static LedgerClient of(
+            Map<DataCentre, List<String>> hosts,
+            Asker asker,
+            Clock clock,
+            RandomGenerator random,
+            LedgerCounters counters,
+            @Nullable LedgerHost localHost,
+            Executor executor) {
+        return new LedgerClient(hosts, new LedgerPeers(asker, clock, executor, localHost), random, counters);
+    }
+
+    @Override
+    public ClaimResult claim(IdempotencyKey key, Fingerprint fingerprint, long timeoutMs) {
+        ClaimResult result = ask(key, fingerprint, timeoutMs);
+        counters.count(result);
+        return result;
+    }
+
+    private ClaimResult ask(IdempotencyKey key, Fingerprint fingerprint, long timeoutMs) {
+        List<String> members = hosts.getOrDefault(key.home(), List.of());
+        if (members.isEmpty()) {
+            return new ClaimResult.Unreachable("Data centre " + key.home() + " has no ledger hosts.");
+        }
+        ClaimId claimId = ClaimId.random(random);
+        ClaimRound round = new ClaimRound(members, fingerprint);
+        LedgerMessage question = new LedgerMessage.Claim(key.text(), claimId, fingerprint, timeoutMs);
+        peers.askAll(members, question, Math.min(timeoutMs, CLAIM_TIMEOUT_MS), 1, round::accept);
+        if (round.owned()) {
+            return new ClaimResult.Granted(new OwnedClaim(members, key.text(), claimId, fingerprint));
+        }
+        List<String> holders = round.possibleHolders();
+        LedgerMessage release = new LedgerMessage.Release(key.text(), claimId);
+        peers.inBackground(() -> peers.askAll(holders, release, RELEASE_TIMEOUT_MS, ATTEMPTS, answer -> false));
+        return round.refusal();
+    }
+
+    /** A claim that a majority granted. */
+    private final class OwnedClaim implements Claim {
+        private final List<String> members;
+        private final String key;
+        private final ClaimId claimId;
+        private final Fingerprint fingerprint;
+        private final AtomicBoolean ended = new AtomicBoolean();
+
+        OwnedClaim(List<String> members, String key, ClaimId claimId, Fingerprint fingerprint) {
+            this.members = members;
+            this.key = key;
+            this.claimId = claimId;
+            this.fingerprint = fingerprint;
+        }
+
+        @Override
+        public boolean release() {
+            end();
+            return tellMajority(new LedgerMessage.Release(key, claimId), RELEASE_TIMEOUT_MS);
+        }
+
+        @Override
+        public boolean complete(KeptAnswer answer, long timeoutMs) {
+            end();
+            return tellMajority(new LedgerMessage.Complete(key, claimId, fingerprint, answer), timeoutMs);
+        }
+
+        @Override
+        public void leaveInDoubt() {
+            end();
+            LedgerMessage message = new LedgerMessage.Doubt(key, claimId);
+            peers.inBackground(() -> tellMajority(message, RELEASE_TIMEOUT_MS));
+        }
+
+        private boolean tellMajority(LedgerMessage message, long timeoutMs) {
+            AtomicInteger confirmed = new AtomicInteger();
+            int majority = members.size() / 2 + 1;
+            return peers.askAll(
+                    members,
+                    message,
+                    timeoutMs,
+                    ATTEMPTS,
+                    answer -> answer.reply().getOrNull() instanceof LedgerReply.Done
+                            && confirmed.incrementAndGet() >= majority);
+        }
+
+        private void end() {
+            if (!ended.compareAndSet(false, true)) {
+                throw new IllegalStateException("The claim on key " + key + " has ended before");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/ledger/LedgerCounters.java
@@ -0,0 +1,67 @@
+package org.sequoianotch.daemon.ledger;
+
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.LongAdder;
+
+/**
+ * Counters of the ledger on one node, shared by the client and the host part.
+ *
+ * <p>This type is thread-safe.
+ *
+ * @param claimsGranted claims that this node owned; not null
+ * @param repeatsAnswered repeats that got a kept answer; not null
+ * @param inProgress requests told that another attempt is running; not null
+ * @param inDoubt requests told that an earlier attempt may have run; not null
+ * @param reused requests refused because the key belongs to another request; not null
+ * @param unreachable requests for which too few ledger hosts answered; not null
+ * @param refusedFull claims that the local ledger host refused because it is full; not null
+ * @param badMessages messages that the local ledger host could not decode; not null
+ * @param syncs synced writes of the claim file; not null
+ * @param bytesOnDisk size of the claim file, in bytes; not null
+ * @param claimsHeld claims held by the local ledger host; not null
+ */
+public record LedgerCounters(
+        LongAdder claimsGranted,
+        LongAdder repeatsAnswered,
+        LongAdder inProgress,
+        LongAdder inDoubt,
+        LongAdder reused,
+        LongAdder unreachable,
+        LongAdder refusedFull,
+        LongAdder badMessages,
+        LongAdder syncs,
+        AtomicLong bytesOnDisk,
+        AtomicLong claimsHeld) {
+    /**
+     * Creates counters that stand at zero.
+     *
+     * @return the counters, never null
+     */
+    public static LedgerCounters create() {
+        return new LedgerCounters(
+                new LongAdder(),
+                new LongAdder(),
+                new LongAdder(),
+                new LongAdder(),
+                new LongAdder(),
+                new LongAdder(),
+                new LongAdder(),
+                new LongAdder(),
+                new LongAdder(),
+                new AtomicLong(),
+                new AtomicLong());
+    }
+
+    void count(ClaimResult result) {
+        LongAdder counter =
+                switch (result) {
+                    case ClaimResult.Granted granted -> claimsGranted;
+                    case ClaimResult.Completed completed -> repeatsAnswered;
+                    case ClaimResult.InProgress progress -> inProgress;
+                    case ClaimResult.InDoubt doubt -> inDoubt;
+                    case ClaimResult.Reused other -> reused;
+                    case ClaimResult.Unreachable far -> unreachable;
+                };
+        counter.increment();
+    }
+}
--- /dev/null
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/ledger/LedgerHost.java
@@ -0,0 +1,389 @@
+package org.sequoianotch.daemon.ledger;
+
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.util.List;
+import java.util.concurrent.Executor;
+import java.util.concurrent.Executors;
+import java.util.concurrent.locks.ReentrantLock;
+import java.util.random.RandomGenerator;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.jspecify.annotations.Nullable;
+import org.sequoianotch.error.ErrorKind;
+import org.sequoianotch.error.Failure;
+import org.sequoianotch.protocol.link.AskHandler;
+import org.sequoianotch.protocol.link.Asker;
+import org.sequoianotch.time.Clock;
+
+/**
+ * One ledger host of a data centre: it keeps a write-once claim for each key.
+ *
+ * <p>A host that starts without its claims is {@link State#RECOVERING} and answers nothing about keys. It serves again
+ * in one of three ways:
+ *
+ * <ul>
+ *   <li>It copies the claims of (members − majority + 1) other members that serve. It takes a higher life number first,
+ *       which these members remember and report with their grants, so that a claimant does not combine a grant that
+ *       this host gave before its loss with later grants of others.
+ *   <li>All members answer that they do not serve in the configured epoch. They form a new group at that time. Until
+ *       the retention has passed, it grants only keys that were minted after the formation, and, if the group was
+ *       formed before the configured opening time, from that time on also all others.
+ *   <li>A serving member names this process start among those that formed the group. This host has then been up since
+ *       the formation and forgot nothing.
+ * </ul>
+ *
+ * <p>A host with a data folder that holds its claims serves at once. This class is thread-safe. Call {@link #start()}
+ * after the peer listener accepts questions, and {@link #close()} at the end.
+ */
+public final class LedgerHost implements AutoCloseable {
+    /** Whether a ledger host answers. */
+    public enum State {
+        /** It lost its claims or never had any, and answers nothing about keys. */
+        RECOVERING,
+        /** It answers. */
+        SERVING,
+        /** Its claim file cannot be written; it answers nothing until it is restarted. */
+        FAILED
+    }
+
+    private static final Logger LOG = LogManager.getLogger(LedgerHost.class);
+    private static final long TICK_MS = 250;
+    private static final long RECOVERY_TIMEOUT_MS = 2_000;
+    private static final long SWEEP_INTERVAL_MS = 60_000;
+    // Below this size, rewriting the file gains less than it costs.
+    private static final long COMPACTION_MIN_RECORDS = 10_000;
+
+    private final String address;
+    private final List<String> members;
+    private final LedgerSettings settings;
+    private final Clock clock;
+    private final LedgerCounters counters;
+    private final long boot;
+    private final ReentrantLock lock = new ReentrantLock();
+    private final ClaimTable table = new ClaimTable();
+    private final ClaimRegister register;
+    private final HostRecovery recovery;
+    private @Nullable ClaimFile file;
+    private volatile State state = State.RECOVERING;
+    private volatile boolean closed;
+    private long recordsInFile;
+    private double lastSweepMs;
+
+    private LedgerHost(
+            String address,
+            List<String> members,
+            LedgerSettings settings,
+            Asker asker,
+            Clock clock,
+            LedgerCounters counters,
+            RandomGenerator random,
+            Executor executor) {
+        this.address = address;
+        this.members = List.copyOf(members);
+        this.settings = settings;
+        this.clock = clock;
+        this.counters = counters;
+        this.boot = random.nextLong();
+        this.register = new ClaimRegister(table, settings, clock, counters, this::change, boot);
+        this.lastSweepMs = clock.monotonicMs();
+        this.recovery = new HostRecovery(this, new LedgerPeers(asker, clock, executor, null), clock);
+    }
+
+    /**
+     * Opens a ledger host.
+     *
+     * @param address the address under which the other members reach this host's peer listener; not null
+     * @param members the addresses of all ledger hosts of the data centre, including this one; not null
+     * @param settings the settings; not null
+     * @param asker asks the other members; not null
+     * @param clock the clock; not null
+     * @param counters the counters of the node; not null
+     * @param random source of randomness that does not repeat over restarts, such as {@code SecureRandom}; not null
+     * @return the host, or the failure if the address is not a member or the claim file cannot be used
+     */
+    public static Either<Failure, LedgerHost> open(
+            String address,
+            List<String> members,
+            LedgerSettings settings,
+            Asker asker,
+            Clock clock,
+            LedgerCounters counters,
+            RandomGenerator random) {
+        Executor executor = Executors.newThreadPerTaskExecutor(
+                Thread.ofVirtual().name("ledger-ask-", 0).factory());
+        return open(address, members, settings, asker, clock, counters, random, executor);
+    }
+
+    static Either<Failure, LedgerHost> open(
+            String address,
+            List<String> members,
+            LedgerSettings settings,
+            Asker asker,
+            Clock clock,
+            LedgerCounters counters,
+            RandomGenerator random,
+            Executor executor) {
+        if (!members.contains(address)) {
+            return Either.left(Failure.of(
+                    ErrorKind.INTERNAL, "The ledger hosts " + members + " do not include this host, " + address + "."));
+        }
+        LedgerHost host = new LedgerHost(address, members, settings, asker, clock, counters, random, executor);
+        try {
+            host.openFile();
+        } catch (IOException e) {
+            return Either.left(Failure.of(ErrorKind.INTERNAL, "The claim file cannot be used: " + e.getMessage()));
+        }
+        return Either.right(host);
+    }
+
+    /** Starts the background work on a virtual thread: recovery, forgetting of expired claims, and compaction. */
+    public void start() {
+        Thread.ofVirtual().name("ledger-host").start(this::runTicks);
+    }
+
+    /**
+     * Returns the handler for questions of other nodes.
+     *
+     * @return the handler for {@code Topic.LEDGER}, never null
+     */
+    public AskHandler askHandler() {
+        return (from, payload) -> {
+            LedgerMessage message;
+            try {
+                message = MessageCodec.decodeMessage(payload);
+            } catch (LedgerCodec.MalformedException e) {
+                counters.badMessages().increment();
+                LOG.warn("[ledger] {} sent a malformed message: {}", from, e.getMessage());
+                return Either.left(Failure.of(ErrorKind.BAD_REQUEST, "The ledger message is malformed."));
+            }
+            return handle(message).map(MessageCodec::encode);
+        };
+    }
+
+    /**
+     * Returns whether the host answers.
+     *
+     * @return the state, never null
+     */
+    public State state() {
+        return state;
+    }
+
+    /**
+     * Returns the address of the host.
+     *
+     * @return the address, never null
+     */
+    public String address() {
+        return address;
+    }
+
+    /**
+     * Returns the number of keys that are claimed, including completed ones.
+     *
+     * @return the number of keys
+     */
+    public int claimCount() {
+        lock.lock();
+        try {
+            return table.size();
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /**
+     * Returns the time before which claims may have been granted that this ledger does not know.
+     *
+     * @return wall-clock time in milliseconds since the Unix epoch; {@code Long.MAX_VALUE} while the host recovers
+     */
+    public long completeFromMs() {
+        lock.lock();
+        try {
+            Formation formation = register.formation();
+            return formation == null ? Long.MAX_VALUE : formation.completeFromMs();
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Stops the background work and closes the claim file. Claims that were answered are on the disk. */
+    @Override
+    public void close() {
+        closed = true;
+        state = State.FAILED;
+        try {
+            if (file != null) {
+                file.close();
+            }
+        } catch (IOException e) {
+            LOG.warn("[ledger] The claim file was not closed: {}", e.getMessage());
+        }
+    }
+
+    /** Tries to recover once if needed, forgets expired claims and compacts the file. */
+    void tick() {
+        if (state == State.RECOVERING) {
+            recovery.attempt(RECOVERY_TIMEOUT_MS);
+        }
+        lock.lock();
+        try {
+            double nowMs = clock.monotonicMs();
+            if (nowMs - lastSweepMs >= SWEEP_INTERVAL_MS) {
+                lastSweepMs = nowMs;
+                table.sweep(clock.nowMs());
+                counters.claimsHeld().set(table.size());
+                compactIfWorthwhile();
+            }
+        } catch (IOException e) {
+            fail(e);
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    Either<Failure, LedgerReply> handle(LedgerMessage message) {
+        LedgerReply reply;
+        long number;
+        lock.lock();
+        try {
+            if (state == State.FAILED) {
+                return Either.left(Failure.of(ErrorKind.INTERNAL, "The ledger host is closed or its file failed."));
+            }
+            reply = state == State.SERVING || message instanceof LedgerMessage.Status
+                    ? register.answer(message)
+                    : new LedgerReply.Refused(LedgerReply.Reason.RECOVERING);
+            number = file == null ? 0 : file.lastAppended();
+        } finally {
+            lock.unlock();
+        }
+        return awaitSynced(number) ? Either.right(reply) : Either.left(fileFailure());
+    }
+
+    /** Serves from now on, in the given formation, with the claims of the given keys added to those held. */
+    boolean serve(Life life, Formation formation, List<LedgerRecord.Entry> copied, List<LedgerRecord> memberLives) {
+        long number;
+        lock.lock();
+        try {
+            if (state != State.RECOVERING) {
+                return false;
+            }
+            for (LedgerRecord.Entry entry : copied) {
+                List<StoredClaim> merged = HostRecovery.merge(table.claims(entry.key(), clock.nowMs()), entry.claims());
+                change(new LedgerRecord.Entry(entry.key(), merged));
+            }
+            change(new LedgerRecord.Serving(life, formation));
+            memberLives.forEach(this::change);
+            number = file == null ? 0 : file.lastAppended();
+            if (!awaitSynced(number)) {
+                return false;
+            }
+            state = State.SERVING;
+            counters.claimsHeld().set(table.size());
+        } finally {
+            lock.unlock();
+        }
+        LOG.info("[ledger] {} serves with {} copied claims, complete from {}", address, copied.size(), formation);
+        return true;
+    }
+
+    long boot() {
+        return boot;
+    }
+
+    long epoch() {
+        return settings.epoch();
+    }
+
+    List<String> otherMembers() {
+        return members.stream().filter(member -> !member.equals(address)).toList();
+    }
+
+    int majority() {
+        return members.size() / 2 + 1;
+    }
+
+    private void change(LedgerRecord entry) {
+        table.apply(entry);
+        if (file != null) {
+            file.append(LedgerRecord.encode(entry));
+            recordsInFile++;
+        }
+    }
+
+    private void openFile() throws IOException {
+        if (settings.dataFolder().isEmpty()) {
+            return;
+        }
+        file = ClaimFile.open(settings.dataFolder().get(), counters, payload -> {
+            table.apply(LedgerRecord.decode(payload));
+            recordsInFile++;
+        });
+        table.sweep(clock.nowMs());
+        counters.claimsHeld().set(table.size());
+        if (register.formation() != null) {
+            state = State.SERVING;
+            LOG.info("[ledger] {} serves with the {} claims of its file", address, table.size());
+        }
+    }
+
+    private void compactIfWorthwhile() throws IOException {
+        long live = table.size() + table.tombstoneCount();
+        if (file != null && recordsInFile > COMPACTION_MIN_RECORDS && recordsInFile > 2 * live) {
+            compact();
+        }
+    }
+
+    /** Rewrites the file with the current state. Claims wait meanwhile. */
+    void compact() throws IOException {
+        lock.lock();
+        try {
+            if (file != null) {
+                List<LedgerRecord> records = table.records();
+                file.rewrite(() -> records.stream().map(LedgerRecord::encode).iterator());
+                recordsInFile = records.size();
+            }
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    private boolean awaitSynced(long number) {
+        if (file == null) {
+            return true;
+        }
+        try {
+            file.awaitSynced(number);
+            return true;
+        } catch (IOException e) {
+            fail(e);
+            return false;
+        }
+    }
+
+    private void fail(IOException e) {
+        if (!closed) {
+            LOG.error("[ledger] {} stops answering, because its claim file failed: {}", address, e.getMessage());
+        }
+        state = State.FAILED;
+    }
+
+    private static Failure fileFailure() {
+        return Failure.of(ErrorKind.INTERNAL, "The claim file of the ledger host failed.");
+    }
+
+    private void runTicks() {
+        while (!closed) {
+            try {
+                tick();
+                clock.sleep(TICK_MS);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                return;
+            } catch (RuntimeException e) {
+                LOG.error("[ledger] The background work of the ledger host failed", e);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/ledger/LedgerMessage.java
@@ -0,0 +1,25 @@
+package org.sequoianotch.daemon.ledger;
+
+/** Question to a ledger host. */
+sealed interface LedgerMessage {
+    /** Asks for a key. {@code runMs} is the remaining time of the request. */
+    record Claim(String key, ClaimId claimId, Fingerprint fingerprint, long runMs) implements LedgerMessage {}
+
+    /** Gives a key back. The claim id is never granted again, even if its claim arrives later. */
+    record Release(String key, ClaimId claimId) implements LedgerMessage {}
+
+    /** Ends an attempt whose result is not known. */
+    record Doubt(String key, ClaimId claimId) implements LedgerMessage {}
+
+    /** Ends an attempt with its answer. Only the owner of the key sends it. */
+    record Complete(String key, ClaimId claimId, Fingerprint fingerprint, KeptAnswer answer) implements LedgerMessage {}
+
+    /** Asks which claims a key has. */
+    record Lookup(String key) implements LedgerMessage {}
+
+    /** Asks for the state of the host, on behalf of the member with the given address. */
+    record Status(String fromAddress) implements LedgerMessage {}
+
+    /** Asks for a page of claims with keys above {@code afterKey}, for a host that lost its own. */
+    record Copy(String fromAddress, long epoch, Life life, String afterKey) implements LedgerMessage {}
+}
--- /dev/null
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/ledger/LedgerPeers.java
@@ -0,0 +1,113 @@
+package org.sequoianotch.daemon.ledger;
+
+import io.vavr.control.Either;
+import java.util.Collection;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.Executor;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
+import org.jspecify.annotations.Nullable;
+import org.sequoianotch.error.ErrorKind;
+import org.sequoianotch.error.Failure;
+import org.sequoianotch.protocol.Topic;
+import org.sequoianotch.protocol.link.Asker;
+import org.sequoianotch.time.Clock;
+
+/** Asks ledger hosts, in parallel if the executor allows it. A local host is called directly. Thread-safe. */
+final class LedgerPeers {
+    private final Asker asker;
+    private final Clock clock;
+    private final Executor executor;
+    private final @Nullable LedgerHost localHost;
+
+    LedgerPeers(Asker asker, Clock clock, Executor executor, @Nullable LedgerHost localHost) {
+        this.asker = asker;
+        this.clock = clock;
+        this.executor = executor;
+        this.localHost = localHost;
+    }
+
+    /** What one host answered. */
+    record Answer(String address, Either<Failure, LedgerReply> reply) {}
+
+    Either<Failure, LedgerReply> ask(String address, LedgerMessage message, long timeoutMs) {
+        if (localHost != null && localHost.address().equals(address)) {
+            return localHost.handle(message);
+        }
+        return asker.ask(address, Topic.LEDGER, MessageCodec.encode(message), timeoutMs)
+                .flatMap(LedgerPeers::decode);
+    }
+
+    /**
+     * Asks several hosts and passes the answers, on the calling thread, to {@code enough} until it returns true, all
+     * hosts have answered, or the time is up.
+     *
+     * @return true if {@code enough} returned true
+     */
+    boolean askAll(
+            Collection<String> addresses,
+            LedgerMessage message,
+            long timeoutMs,
+            int attempts,
+            Predicate<Answer> enough) {
+        double endMs = clock.monotonicMs() + timeoutMs;
+        BlockingQueue<Answer> answers = new LinkedBlockingQueue<>();
+        for (String address : addresses) {
+            executor.execute(() -> answers.add(new Answer(address, askRepeatedly(address, message, endMs, attempts))));
+        }
+        for (int received = 0; received < addresses.size(); received++) {
+            Answer answer = poll(answers, endMs);
+            if (answer == null) {
+                return false;
+            }
+            if (enough.test(answer)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Runs a task without waiting for it. */
+    void inBackground(Runnable task) {
+        executor.execute(task);
+    }
+
+    private Either<Failure, LedgerReply> askRepeatedly(
+            String address, LedgerMessage message, double endMs, int attempts) {
+        Either<Failure, LedgerReply> reply = Either.left(Failure.of(ErrorKind.LEDGER_UNREACHABLE, "It was not asked."));
+        for (int attempt = 0; attempt < attempts && reply.isLeft(); attempt++) {
+            long leftMs = (long) Math.ceil(endMs - clock.monotonicMs());
+            if (leftMs <= 0) {
+                break;
+            }
+            try {
+                reply = ask(address, message, leftMs);
+            } catch (RuntimeException e) {
+                reply = Either.left(Failure.of(ErrorKind.INTERNAL, "Asking the ledger host failed: " + e));
+            }
+        }
+        return reply;
+    }
+
+    private @Nullable Answer poll(BlockingQueue<Answer> answers, double endMs) {
+        Answer ready = answers.poll();
+        if (ready != null) {
+            return ready;
+        }
+        try {
+            return answers.poll((long) (1_000 * (endMs - clock.monotonicMs())), TimeUnit.MICROSECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return null;
+        }
+    }
+
+    private static Either<Failure, LedgerReply> decode(byte[] payload) {
+        try {
+            return Either.right(MessageCodec.decodeReply(payload));
+        } catch (LedgerCodec.MalformedException e) {
+            return Either.left(Failure.of(ErrorKind.INTERNAL, "The ledger host's answer is malformed: " + e));
+        }
+    }
+}
