--- a/sequoianotch-policy/src/main/java/org/sequoianotch/policy/admission/ConcurrencyLimit.java
+++ b/sequoianotch-policy/src/main/java/org/sequoianotch/policy/admission/ConcurrencyLimit.java
@@ -5,9 +5,9 @@
  *
  * <p>Calls are evaluated in windows. If the latency in a window is above its baseline, or the backend server shows
  * signs of overload, while the limit is in use, the limit is lowered as a trial. If the trial lowers the rate of
- * answers about as much as it lowered the limit, the latency does not come from the number of calls at this instance (for example
- * because a service further down is slow). The limit is then restored, and the next trial is put off. Otherwise the
- * lower limit is kept. The limit rises again in each window that is in use and not slow.
+ * answers about as much as it lowered the limit, the latency does not come from the number of calls at this instance
+ * (for example because a service further down is slow). The limit is then restored, and the next trial is put off.
+ * Otherwise the lower limit is kept. The limit rises again in each window that is in use and not slow.
  *
  * <p>This class is not thread-safe.
  */
--- a/sequoianotch-policy/src/main/java/org/sequoianotch/policy/admission/ProtectiveEntryGate.java
+++ b/sequoianotch-policy/src/main/java/org/sequoianotch/policy/admission/ProtectiveEntryGate.java
@@ -18,8 +18,8 @@
  *
  * <p>The probability follows the average of the fresh levels, weighted by slots. An instance without a fresh level is
  * left out of the average, since this node sends it no calls. If all known levels have expired, critical calls pass,
- * and of the others one probe each 100 ms, so that the levels become known again. A level that nothing has refreshed for
- * 3 s is forgotten. This class is thread-safe.
+ * and of the others one probe each 100 ms, so that the levels become known again. A level that nothing has refreshed
+ * for 3 s is forgotten. This class is thread-safe.
  */
 public final class ProtectiveEntryGate implements EntryGate {
     private static final double FRESH_MS = 1_000;
