--- a/sequoianotch-core/src/main/java/org/sequoianotch/template/ServiceRule.java
+++ b/sequoianotch-core/src/main/java/org/sequoianotch/template/ServiceRule.java
@@ -23,6 +23,11 @@
         int retryBudgetPercent,
         long slowStartMs) {
     private static final int MAX_PERCENT = 100;
+    private static final int DEFAULT_MAX_IN_FLIGHT = 1_000;
+    private static final int DEFAULT_QUEUE_LENGTH = 50;
+    private static final long DEFAULT_QUEUE_TIME_MS = 100;
+    private static final int DEFAULT_RETRY_BUDGET_PERCENT = 10;
+    private static final long DEFAULT_SLOW_START_MS = 5_000;
 
     /** Checks the components. */
     public ServiceRule {
@@ -35,4 +40,20 @@
                     "retryBudgetPercent is " + retryBudgetPercent + ", but must be from 0 to 100");
         }
     }
+
+    /**
+     * Creates the limits that hold for a service when its template gives none.
+     *
+     * @param service the service; not null
+     * @return the limits, never null
+     */
+    public static ServiceRule ofDefaults(ServiceName service) {
+        return new ServiceRule(
+                service,
+                DEFAULT_MAX_IN_FLIGHT,
+                DEFAULT_QUEUE_LENGTH,
+                DEFAULT_QUEUE_TIME_MS,
+                DEFAULT_RETRY_BUDGET_PERCENT,
+                DEFAULT_SLOW_START_MS);
+    }
 }
--- a/sequoianotch-core/src/main/java/org/sequoianotch/template/TemplateParser.java
+++ b/sequoianotch-core/src/main/java/org/sequoianotch/template/TemplateParser.java
@@ -91,13 +91,14 @@
             problem(section, "", "", "the section name must be [service NAME]");
             return;
         }
+        ServiceRule defaults = ServiceRule.ofDefaults(service);
         services.add(new ServiceRule(
                 service,
-                (int) number(section, "max_in_flight", 1_000, 1, MAX_CALLS),
-                (int) number(section, "queue_length", 50, 0, MAX_CALLS),
-                number(section, "queue_time_ms", 100, 0, MAX_DEADLINE_MS),
-                (int) number(section, "retry_budget_percent", 10, 0, 100),
-                number(section, "slow_start_ms", 5_000, 0, MAX_DEADLINE_MS)));
+                (int) number(section, "max_in_flight", defaults.maxInFlight(), 1, MAX_CALLS),
+                (int) number(section, "queue_length", defaults.queueLength(), 0, MAX_CALLS),
+                number(section, "queue_time_ms", defaults.queueTimeMs(), 0, MAX_DEADLINE_MS),
+                (int) number(section, "retry_budget_percent", defaults.retryBudgetPercent(), 0, 100),
+                number(section, "slow_start_ms", defaults.slowStartMs(), 0, MAX_DEADLINE_MS)));
     }
 
     private void parseRoute(String section, String[] words) {
--- /dev/null
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/CheckedSettings.java
@@ -0,0 +1,32 @@
+package org.sequoianotch.daemon;
+
+import io.vavr.control.Either;
+import java.nio.file.Path;
+import java.util.List;
+import org.sequoianotch.settings.NodeSetting;
+import org.sequoianotch.settings.NodeSettings;
+import org.sequoianotch.settings.SettingsProblem;
+
+/**
+ * The settings of a node together with the template files that they name, both checked.
+ *
+ * @param settings the settings; not null
+ * @param templates the templates; not null
+ */
+record CheckedSettings(NodeSettings settings, TemplateSource templates) {
+    static Either<List<SettingsProblem>, CheckedSettings> read(Path file) {
+        return NodeSettings.read(file).flatMap(settings -> {
+            List<Path> templateFiles = settings.list(NodeSetting.TEMPLATE_FILES).stream()
+                    .map(Path::of)
+                    .toList();
+            return TemplateSource.read(templateFiles).map(templates -> new CheckedSettings(settings, templates));
+        });
+    }
+
+    /** Prints the problems for a person. */
+    static void report(List<SettingsProblem> problems) {
+        System.err.println(
+                "The settings have " + problems.size() + (problems.size() == 1 ? " problem:" : " problems:"));
+        problems.forEach(problem -> System.err.println("  " + problem));
+    }
+}
--- /dev/null
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/LedgerParts.java
@@ -0,0 +1,93 @@
+package org.sequoianotch.daemon;
+
+import io.vavr.control.Either;
+import java.security.SecureRandom;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.jspecify.annotations.Nullable;
+import org.sequoianotch.daemon.call.HostPlace;
+import org.sequoianotch.daemon.ledger.Ledger;
+import org.sequoianotch.daemon.ledger.LedgerClient;
+import org.sequoianotch.daemon.ledger.LedgerCounters;
+import org.sequoianotch.daemon.ledger.LedgerHost;
+import org.sequoianotch.daemon.ledger.LedgerSettings;
+import org.sequoianotch.daemon.ledger.NaiveLedger;
+import org.sequoianotch.error.Failure;
+import org.sequoianotch.model.DataCentre;
+import org.sequoianotch.policy.PolicyMode;
+import org.sequoianotch.protocol.link.Asker;
+import org.sequoianotch.settings.NodeSetting;
+import org.sequoianotch.settings.NodeSettings;
+import org.sequoianotch.time.Clock;
+
+/** The ledger as this node uses it and, on a ledger host, the node's own part of it. */
+final class LedgerParts {
+    private final Ledger ledger;
+    private final List<DataCentre> dataCentres;
+    private final @Nullable LedgerHost host;
+    private final LedgerCounters counters;
+
+    private LedgerParts(
+            Ledger ledger, List<DataCentre> dataCentres, @Nullable LedgerHost host, LedgerCounters counters) {
+        this.ledger = ledger;
+        this.dataCentres = dataCentres;
+        this.host = host;
+        this.counters = counters;
+    }
+
+    static Either<Failure, LedgerParts> open(
+            NodeSettings settings, HostPlace place, PolicyMode mode, Asker asker, Clock clock) {
+        Map<DataCentre, List<String>> hosts = ledgerHosts(settings);
+        LedgerCounters counters = LedgerCounters.create();
+        SecureRandom random = new SecureRandom();
+        List<String> ownGroup = hosts.getOrDefault(place.dataCentre(), List.of());
+        LedgerHost host = null;
+        if (ownGroup.contains(place.peerAddress())) {
+            LedgerSettings ledgerSettings = LedgerSettings.of(
+                    settings.number(NodeSetting.LEDGER_EPOCH),
+                    settings.number(NodeSetting.LEDGER_RETENTION_MS),
+                    settings.path(NodeSetting.LEDGER_DATA_FOLDER));
+            Either<Failure, LedgerHost> opened =
+                    LedgerHost.open(place.peerAddress(), ownGroup, ledgerSettings, asker, clock, counters, random);
+            if (opened.isLeft()) {
+                return Either.left(opened.getLeft());
+            }
+            host = opened.get();
+        }
+        Ledger ledger = mode == PolicyMode.NAIVE
+                ? new NaiveLedger()
+                : LedgerClient.of(hosts, asker, clock, random, counters, host);
+        // Without any ledger the keys still need a home; claims are then answered as unreachable.
+        List<DataCentre> dataCentres = hosts.isEmpty() ? List.of(place.dataCentre()) : List.copyOf(hosts.keySet());
+        return Either.right(new LedgerParts(ledger, dataCentres, host, counters));
+    }
+
+    private static Map<DataCentre, List<String>> ledgerHosts(NodeSettings settings) {
+        Map<DataCentre, List<String>> hosts = new LinkedHashMap<>();
+        for (String item : settings.list(NodeSetting.LEDGER_HOSTS)) {
+            int equals = item.indexOf('=');
+            hosts.computeIfAbsent(DataCentre.of(item.substring(0, equals)), dataCentre -> new ArrayList<>())
+                    .add(item.substring(equals + 1));
+        }
+        return hosts;
+    }
+
+    Ledger ledger() {
+        return ledger;
+    }
+
+    List<DataCentre> dataCentres() {
+        return dataCentres;
+    }
+
+    Optional<LedgerHost> host() {
+        return Optional.ofNullable(host);
+    }
+
+    LedgerCounters counters() {
+        return counters;
+    }
+}
--- /dev/null
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/Node.java
@@ -0,0 +1,237 @@
+package org.sequoianotch.daemon;
+
+import io.netty.util.HashedWheelTimer;
+import io.vavr.control.Either;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.sequoianotch.daemon.call.CallPath;
+import org.sequoianotch.daemon.call.HostPlace;
+import org.sequoianotch.daemon.call.LocalInstances;
+import org.sequoianotch.daemon.call.ServicePolicies;
+import org.sequoianotch.daemon.explain.RequestJournal;
+import org.sequoianotch.daemon.http.HttpHandler;
+import org.sequoianotch.daemon.http.HttpListener;
+import org.sequoianotch.daemon.ledger.LedgerHost;
+import org.sequoianotch.error.ErrorKind;
+import org.sequoianotch.error.Failure;
+import org.sequoianotch.membership.Membership;
+import org.sequoianotch.membership.NettyDatagramTransport;
+import org.sequoianotch.policy.PolicyMode;
+import org.sequoianotch.protocol.Topic;
+import org.sequoianotch.protocol.link.LinkCounters;
+import org.sequoianotch.protocol.link.LinkOptions;
+import org.sequoianotch.protocol.link.PeerLinks;
+import org.sequoianotch.protocol.link.PeerListener;
+import org.sequoianotch.protocol.link.Transport;
+import org.sequoianotch.settings.NodeSetting;
+import org.sequoianotch.settings.NodeSettings;
+import org.sequoianotch.time.Clock;
+import org.sequoianotch.time.SystemClock;
+
+/**
+ * One running node: all its parts, wired together, started and stopped in order.
+ *
+ * <p>This class is thread-safe. {@link #start} and {@link #stop} are called once each.
+ */
+public final class Node {
+    private static final Logger LOG = LogManager.getLogger(Node.class);
+    private static final int EVENT_LOOP_THREADS = 2;
+    private static final long TIMER_TICK_MS = 5;
+    private static final long LEASE_CHECK_MS = 200;
+    private static final long OPEN_CALLS_POLL_MS = 10;
+
+    private final NodeSettings settings;
+    private final HostPlace place;
+    private final Clock clock = SystemClock.INSTANCE;
+    private final Transport transport = Transport.create(EVENT_LOOP_THREADS);
+    private final HashedWheelTimer timer = new HashedWheelTimer(
+            Thread.ofPlatform().daemon(true).name("timer").factory(), TIMER_TICK_MS, TimeUnit.MILLISECONDS);
+    private final PeerLinks links;
+    private final PeerListener peerListener;
+    private final Membership membership;
+    private final LocalInstances instances;
+    private final CallPath callPath;
+    private final LedgerParts ledger;
+    private final List<HttpListener> listeners = new ArrayList<>();
+    private volatile boolean stopped;
+
+    private Node(NodeSettings settings, TemplateSource templates) {
+        this.settings = settings;
+        this.place = NodeOptions.place(settings);
+        PolicyMode mode = PolicyMode.ofCode(settings.text(NodeSetting.MODE)).orElseThrow();
+        RandomGenerator random = () -> ThreadLocalRandom.current().nextLong();
+        LinkCounters linkCounters = new LinkCounters();
+        LinkOptions linkOptions = NodeOptions.links(settings, place);
+        RequestJournal journal = new RequestJournal(
+                place.host(),
+                clock,
+                (int) settings.number(NodeSetting.EXPLAIN_MAX_REQUESTS),
+                settings.number(NodeSetting.EXPLAIN_SLOW_MS));
+        links = new PeerLinks(linkOptions, transport, clock, linkCounters);
+        membership = new Membership(
+                NodeOptions.membership(settings, place),
+                clock,
+                random,
+                new NettyDatagramTransport(settings.text(NodeSetting.PEER_LISTEN), transport.eventLoops()),
+                links);
+        instances = new LocalInstances(
+                place,
+                InetAddress.ofLiteral(settings.text(NodeSetting.BACKEND_HOST_ADDRESS)),
+                settings.number(NodeSetting.BACKEND_LEASE_MS),
+                mode,
+                clock,
+                transport.eventLoops(),
+                templates::current);
+        instances.setOnChange(membership::announce);
+        ledger = LedgerParts.open(settings, place, mode, links, clock)
+                .getOrElseThrow(failure -> new NodeStartException(failure.detail()));
+        CallPath.Surroundings surroundings = new CallPath.Surroundings(
+                place,
+                templates::current,
+                journal,
+                clock,
+                timer,
+                random,
+                ledger.dataCentres(),
+                settings.number(NodeSetting.LEDGER_EPOCH));
+        callPath = new CallPath(
+                surroundings,
+                instances,
+                links,
+                service -> membership.view().instancesOf(service),
+                new ServicePolicies(
+                        mode,
+                        place,
+                        (int) settings.number(NodeSetting.ROUTING_CROSS_REGION_PRICE_MS_PER_KIB),
+                        clock,
+                        random),
+                ledger.ledger());
+        peerListener = new PeerListener(linkOptions, transport, clock, linkCounters, callPath.peerHandler());
+        links.attach(peerListener);
+        peerListener.answer(Topic.MEMBERSHIP, membership.askHandler());
+        ledger.host().ifPresent(host -> peerListener.answer(Topic.LEDGER, host.askHandler()));
+    }
+
+    /**
+     * Starts a node.
+     *
+     * @param settings the checked settings; not null
+     * @param templates the templates in force at the start; not null
+     * @return the running node, or the failure that kept it from starting
+     * @throws InterruptedException if the thread is interrupted while starting
+     */
+    public static Either<Failure, Node> start(NodeSettings settings, TemplateSource templates)
+            throws InterruptedException {
+        Node node;
+        try {
+            node = new Node(settings, templates);
+        } catch (NodeStartException e) {
+            return Either.left(Failure.of(ErrorKind.INTERNAL, String.valueOf(e.getMessage())));
+        }
+        Either<Failure, Void> opened = node.open();
+        if (opened.isLeft()) {
+            node.close();
+            return Either.left(opened.getLeft());
+        }
+        LOG.info(
+                "[node] Host {} in data centre {} serves callers at {}.",
+                node.place.host(),
+                node.place.dataCentre(),
+                settings.text(NodeSetting.CALLER_LISTEN));
+        return Either.right(node);
+    }
+
+    private Either<Failure, Void> open() throws InterruptedException {
+        Either<Failure, InetSocketAddress> listening = peerListener.start(settings.text(NodeSetting.PEER_LISTEN));
+        if (listening.isLeft()) {
+            return Either.left(listening.getLeft());
+        }
+        Either<Failure, String> joined = membership.start();
+        if (joined.isLeft()) {
+            return Either.left(joined.getLeft());
+        }
+        ledger.host().ifPresent(LedgerHost::start);
+        Thread.ofVirtual().name("lease-check").start(this::checkLeases);
+        return bind("backend", NodeSetting.BACKEND_LISTEN, callPath.backendHandler())
+                .flatMap(bound -> bind("caller", NodeSetting.CALLER_LISTEN, callPath.callerHandler()));
+    }
+
+    private Either<Failure, Void> bind(String name, NodeSetting address, HttpHandler handler) {
+        try {
+            listeners.add(
+                    HttpListener.bind(NodeOptions.listener(settings, name, address), transport.eventLoops(), handler));
+            return Either.right(null);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return Either.left(Failure.of(ErrorKind.INTERNAL, "The start was interrupted."));
+        } catch (RuntimeException e) {
+            return Either.left(Failure.of(
+                    ErrorKind.INTERNAL,
+                    "The " + name + " listener cannot use " + settings.text(address) + ": " + e.getMessage()));
+        }
+    }
+
+    private void checkLeases() {
+        try {
+            while (!stopped) {
+                instances.expire();
+                Thread.sleep(LEASE_CHECK_MS);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /**
+     * Stops the node gracefully: announces the leaving, takes no new work, lets requests in flight finish, and closes
+     * everything.
+     *
+     * @return true if all requests in flight finished within the shutdown timeout
+     * @throws InterruptedException if the thread is interrupted while waiting
+     */
+    public boolean stop() throws InterruptedException {
+        LOG.info("[node] Stopping: announcing that this host leaves.");
+        double deadlineMs = clock.monotonicMs() + settings.number(NodeSetting.SHUTDOWN_TIMEOUT_MS);
+        instances.drain();
+        membership.leave();
+        links.goAway("the node is being stopped");
+        boolean finished = true;
+        for (HttpListener listener : listeners.reversed()) {
+            finished &= listener.stop((long) Math.max(0, deadlineMs - clock.monotonicMs()));
+            if (listener == listeners.getLast()) {
+                finished &= awaitOpenCalls(deadlineMs);
+            }
+        }
+        close();
+        LOG.info("[node] Stopped; requests in flight {}.", finished ? "finished" : "were cut off by the timeout");
+        return finished;
+    }
+
+    /** Calls of other nodes finish while the backend listener still serves their sub-calls. */
+    private boolean awaitOpenCalls(double deadlineMs) throws InterruptedException {
+        while (peerListener.openCalls() > 0) {
+            if (clock.monotonicMs() > deadlineMs) {
+                return false;
+            }
+            Thread.sleep(OPEN_CALLS_POLL_MS);
+        }
+        return true;
+    }
+
+    private void close() {
+        stopped = true;
+        membership.close();
+        links.close();
+        peerListener.close();
+        ledger.host().ifPresent(LedgerHost::close);
+        timer.stop();
+        transport.close();
+    }
+}
--- /dev/null
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/AttemptRunner.java
@@ -0,0 +1,177 @@
+package org.sequoianotch.daemon.call;
+
+import io.vavr.control.Either;
+import java.util.Optional;
+import org.jspecify.annotations.Nullable;
+import org.sequoianotch.daemon.explain.EventKind;
+import org.sequoianotch.daemon.explain.Journal;
+import org.sequoianotch.error.ErrorKind;
+import org.sequoianotch.error.Failure;
+import org.sequoianotch.model.Instance;
+import org.sequoianotch.model.LoadReport;
+import org.sequoianotch.policy.routing.Attempt;
+import org.sequoianotch.policy.routing.AttemptResult;
+import org.sequoianotch.protocol.AnswerHeader;
+import org.sequoianotch.protocol.AnswerTrailer;
+import org.sequoianotch.protocol.CallHeader;
+import org.sequoianotch.protocol.link.CallHandler;
+import org.sequoianotch.protocol.link.PeerCall;
+import org.sequoianotch.protocol.link.PeerNetwork;
+import org.sequoianotch.time.Clock;
+
+/**
+ * Sends a call to one instance and takes in what comes back. The instance on the node's own host is reached without a
+ * link.
+ *
+ * <p>This class is thread-safe.
+ */
+final class AttemptRunner {
+    private static final int SERVER_ERROR = 500;
+
+    private final HostPlace place;
+    private final PeerNetwork network;
+    private final CallHandler localHandler;
+    private final ServicePolicies policies;
+    private final Journal journal;
+    private final Clock clock;
+
+    AttemptRunner(
+            HostPlace place,
+            PeerNetwork network,
+            CallHandler localHandler,
+            ServicePolicies policies,
+            Journal journal,
+            Clock clock) {
+        this.place = place;
+        this.network = network;
+        this.localHandler = localHandler;
+        this.policies = policies;
+        this.journal = journal;
+        this.clock = clock;
+    }
+
+    /** Makes one attempt; the answer of a success has arrived in full or up to the part that is held back. */
+    Either<Failure, OpenAnswer> run(OutboundCall outbound, RequestContext context, Instance instance, ReplayBody body)
+            throws InterruptedException {
+        double startedAtMs = clock.monotonicMs();
+        RequestTimer time = new RequestTimer(context, clock);
+        Attempt attempt = policies.selector(outbound.limits()).start(instance);
+        Either<Failure, PeerCall> opened = open(outbound, context, instance);
+        if (opened.isLeft()) {
+            attempt.finish(AttemptResult.UNREACHABLE, clock.monotonicMs() - startedAtMs, null);
+            return Either.left(opened.getLeft());
+        }
+        PeerCall call = opened.get();
+        Runnable cancel = () -> call.cancel("the request was cancelled");
+        context.onCancel(cancel);
+        Either<Failure, OpenAnswer> answer = exchange(call, context, instance, body, time);
+        if (answer.isLeft()) {
+            context.removeCancelAction(cancel);
+            call.cancel("the attempt failed");
+        }
+        LoadReport load = call.trailer().map(AnswerTrailer::load).orElse(null);
+        if (answer.isLeft() || answer.get().isComplete()) {
+            settle(outbound, context, instance, call);
+        }
+        attempt.finish(resultOf(answer, context), clock.monotonicMs() - startedAtMs, load);
+        return answer;
+    }
+
+    private Either<Failure, PeerCall> open(OutboundCall outbound, RequestContext context, Instance instance) {
+        CallHeader header = new CallHeader(
+                context.requestId(),
+                outbound.service(),
+                outbound.method(),
+                outbound.path(),
+                outbound.headers(),
+                new RequestTimer(context, clock).leftMs(),
+                context.criticality(),
+                context.allowance().takeShare(),
+                context.depth(),
+                outbound.key(),
+                outbound.bodyBytes());
+        Either<Failure, PeerCall> opened = instance.host().equals(place.host())
+                ? Either.right(LocalCall.open(header, place.host(), localHandler))
+                : network.open(instance.peerAddress(), header);
+        if (opened.isLeft()) {
+            context.allowance().giveBack(header.retryShare());
+        }
+        return opened;
+    }
+
+    private Either<Failure, OpenAnswer> exchange(
+            PeerCall call, RequestContext context, Instance instance, ReplayBody body, RequestTimer time)
+            throws InterruptedException {
+        Failure cut = sendBody(call, body);
+        if (cut != null) {
+            return Either.left(cut);
+        }
+        Either<Failure, AnswerHeader> head = call.awaitAnswer(time.leftMs());
+        if (head.isLeft()) {
+            return Either.left(head.getLeft());
+        }
+        OpenAnswer answer = new OpenAnswer(instance, call, head.get());
+        return answer.hold(time).map(held -> answer);
+    }
+
+    /** Sends the body; returns the failure if the caller cut it. A peer that stops reading has answered or refused. */
+    private static @Nullable Failure sendBody(PeerCall call, ReplayBody body) throws InterruptedException {
+        while (true) {
+            Either<Failure, Optional<byte[]>> part = body.read();
+            if (part.isLeft()) {
+                return part.getLeft();
+            }
+            if (part.get().isEmpty()) {
+                call.endBody();
+                return null;
+            }
+            if (call.writeBody(part.get().get()).isLeft()) {
+                return null;
+            }
+        }
+    }
+
+    /** Takes back unused retries and passes the load on; to be called once the call has ended. */
+    void settle(OutboundCall outbound, RequestContext context, Instance instance, PeerCall call) {
+        call.trailer().ifPresent(trailer -> {
+            context.allowance().giveBack(trailer.returnedRetries());
+            context.observe(trailer.load());
+            policies.gate(outbound.limits(), outbound.route()).observe(instance.host(), trailer.load());
+        });
+    }
+
+    private static AttemptResult resultOf(Either<Failure, OpenAnswer> answer, RequestContext context) {
+        if (answer.isRight()) {
+            return answer.get().head().status() >= SERVER_ERROR ? AttemptResult.ERRED : AttemptResult.SUCCEEDED;
+        }
+        boolean callerGone = context.cancellation()
+                .filter(failure -> failure.kind() == ErrorKind.CALLER_GONE)
+                .isPresent();
+        if (callerGone) {
+            return AttemptResult.CANCELLED;
+        }
+        return switch (answer.getLeft().kind()) {
+            case OVERLOADED, DRAINING, DEADLINE_BEFORE_RUN -> AttemptResult.REFUSED;
+            case DEADLINE_IN_DOUBT -> AttemptResult.TIMED_OUT;
+            case BODY_INCOMPLETE, CALLER_GONE -> AttemptResult.CANCELLED;
+            default -> AttemptResult.UNREACHABLE;
+        };
+    }
+
+    void recordSent(OutboundCall outbound, RequestContext context, Instance instance, int attempts) {
+        EventKind kind = attempts == 1 ? EventKind.SENT : EventKind.RETRIED;
+        String word = attempts == 1 ? "Sent" : "Sent once more";
+        journal.record(
+                context.requestId(),
+                kind,
+                String.format(
+                        "%s to %s at host %s in data centre %s by %s, with %d ms and %d retries left.",
+                        word,
+                        outbound.service(),
+                        instance.host(),
+                        instance.dataCentre(),
+                        outbound.ruleLabel(),
+                        context.timeLeftMs(clock),
+                        context.allowance().remaining()));
+    }
+}
--- /dev/null
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/BackendHandler.java
@@ -0,0 +1,136 @@
+package org.sequoianotch.daemon.call;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.util.Optional;
+import java.util.concurrent.ThreadLocalRandom;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.sequoianotch.daemon.http.HttpExchange;
+import org.sequoianotch.daemon.http.HttpHandler;
+import org.sequoianotch.daemon.http.Problem;
+import org.sequoianotch.daemon.http.WholeResponse;
+import org.sequoianotch.error.ErrorKind;
+import org.sequoianotch.error.Failure;
+import org.sequoianotch.model.BackendState;
+import org.sequoianotch.model.Criticality;
+import org.sequoianotch.model.RequestId;
+import org.sequoianotch.model.ServiceName;
+import org.sequoianotch.policy.retry.RetryAllowance;
+import org.sequoianotch.time.Clock;
+
+/**
+ * Serves the backend server on this host: announcements, and sub-calls in the context of the request that it serves.
+ *
+ * <p>This class is thread-safe.
+ */
+final class BackendHandler implements HttpHandler {
+    private static final Logger LOG = LogManager.getLogger(BackendHandler.class);
+    private static final String ANNOUNCE_PATH = "/v1/announce";
+    private static final int MAX_ANNOUNCEMENT_BYTES = 4_096;
+    private static final int OK = 200;
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    private final CallRules rules;
+    private final RequestRunner runner;
+    private final ContextRegistry contexts;
+    private final LocalInstances instances;
+    private final Clock clock;
+
+    BackendHandler(
+            CallRules rules, RequestRunner runner, ContextRegistry contexts, LocalInstances instances, Clock clock) {
+        this.rules = rules;
+        this.runner = runner;
+        this.contexts = contexts;
+        this.instances = instances;
+        this.clock = clock;
+    }
+
+    @Override
+    public void handle(HttpExchange exchange) throws InterruptedException {
+        if (exchange.uri().equals(ANNOUNCE_PATH) && exchange.method().equals("PUT")) {
+            announce(exchange);
+            return;
+        }
+        Either<Failure, OutboundCall> read = rules.read(exchange);
+        Either<Failure, Long> timeoutMs =
+                read.flatMap(call -> CallRules.timeoutMs(exchange, call.route().deadlineMs()));
+        if (timeoutMs.isLeft()) {
+            exchange.respond(Problem.of(timeoutMs.getLeft()));
+            return;
+        }
+        run(exchange, read.get(), timeoutMs.get());
+    }
+
+    private void run(HttpExchange exchange, OutboundCall outbound, long timeoutMs) throws InterruptedException {
+        Optional<RequestContext> parent =
+                exchange.header(TraceParent.HEADER).flatMap(TraceParent::parse).flatMap(contexts::find);
+        double ownDeadlineMs = clock.monotonicMs() + timeoutMs;
+        RequestContext context = parent.map(above -> new RequestContext(
+                        above.requestId(),
+                        above.criticality(),
+                        above.depth(),
+                        Math.min(above.deadlineAtMs(), ownDeadlineMs),
+                        above.allowance()))
+                .orElseGet(() -> unknownContext(exchange, ownDeadlineMs));
+        Runnable cancel = () -> context.cancel(Failure.of(ErrorKind.CALLER_GONE, "The call above was cancelled."));
+        parent.ifPresent(above -> above.onCancel(cancel));
+        exchange.onClose(
+                () -> context.cancel(Failure.of(ErrorKind.CALLER_GONE, "The backend server closed its connection.")));
+        try {
+            runner.run(exchange, outbound, context);
+        } catch (RuntimeException e) {
+            LOG.error("[call] A sub-call of request {} failed on a defect.", context.requestId(), e);
+            exchange.abort();
+        } finally {
+            parent.ifPresent(above -> {
+                above.removeCancelAction(cancel);
+                above.observeLevel(context.lowestLevel());
+            });
+        }
+    }
+
+    private static RequestContext unknownContext(HttpExchange exchange, double deadlineAtMs) {
+        RequestId requestId = exchange.header(TraceParent.HEADER)
+                .flatMap(TraceParent::parse)
+                .orElseGet(() -> RequestId.random(ThreadLocalRandom.current()));
+        return new RequestContext(requestId, Criticality.SHEDDABLE, 1, deadlineAtMs, RetryAllowance.of(0));
+    }
+
+    private void announce(HttpExchange exchange) throws InterruptedException {
+        Either<Failure, Announcement> announcement =
+                exchange.readWholeBody(MAX_ANNOUNCEMENT_BYTES).flatMap(BackendHandler::parse);
+        if (announcement.isLeft()) {
+            exchange.respond(Problem.of(announcement.getLeft()));
+            return;
+        }
+        long leaseMs = instances.announce(announcement.get());
+        exchange.respond(WholeResponse.ofText(OK, "application/json", "{\"lease_ms\":" + leaseMs + "}"));
+    }
+
+    private static Either<Failure, Announcement> parse(byte[] body) {
+        try {
+            JsonNode json = JSON.readTree(body);
+            String stateText = json.path("state").asText("");
+            Optional<BackendState> state = BackendState.ofCode(stateText);
+            if (state.isEmpty()) {
+                return malformed("state is \"" + stateText + "\", but must be starting, serving or draining");
+            }
+            ServiceName service = ServiceName.of(json.path("service").asText(""));
+            int port = json.path("port").asInt(0);
+            int slots = json.path("slots").asInt(0);
+            return Either.right(new Announcement(service, port, slots, state.get()));
+        } catch (JsonProcessingException e) {
+            return malformed("the body is not JSON");
+        } catch (IOException | IllegalArgumentException e) {
+            return malformed(String.valueOf(e.getMessage()));
+        }
+    }
+
+    private static Either<Failure, Announcement> malformed(String reason) {
+        return Either.left(Failure.of(ErrorKind.BAD_REQUEST, "The announcement is not accepted: " + reason + "."));
+    }
+}
--- /dev/null
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/CallForwarder.java
@@ -0,0 +1,177 @@
+package org.sequoianotch.daemon.call;
+
+import io.vavr.control.Either;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.jspecify.annotations.Nullable;
+import org.sequoianotch.daemon.explain.EventKind;
+import org.sequoianotch.daemon.explain.Journal;
+import org.sequoianotch.error.ErrorKind;
+import org.sequoianotch.error.Failure;
+import org.sequoianotch.model.HostId;
+import org.sequoianotch.model.Instance;
+import org.sequoianotch.policy.retry.RetryQuestion;
+import org.sequoianotch.policy.routing.RoutingRequest;
+import org.sequoianotch.time.Clock;
+
+/**
+ * Sends a call to instances of its service until one answers or nothing more may be tried.
+ *
+ * <p>This class is thread-safe.
+ */
+final class CallForwarder {
+    private static final int BAD_GATEWAY = 502;
+    private static final int GATEWAY_TIMEOUT = 504;
+    /** Volume assumed for a body of unknown length, for the price of another region. */
+    private static final long ASSUMED_BODY_BYTES = 16_384;
+
+    private final InstanceDirectory directory;
+    private final ServicePolicies policies;
+    private final AttemptRunner attempts;
+    private final Journal journal;
+    private final Clock clock;
+
+    CallForwarder(
+            InstanceDirectory directory,
+            ServicePolicies policies,
+            AttemptRunner attempts,
+            Journal journal,
+            Clock clock) {
+        this.directory = directory;
+        this.policies = policies;
+        this.attempts = attempts;
+        this.journal = journal;
+        this.clock = clock;
+    }
+
+    /** State of one call over its attempts. One thread uses it. */
+    private static final class Progress {
+        private final Set<HostId> triedHosts = new HashSet<>();
+        private int attempts;
+        /** The first failure after which the call may have run; later refusals cannot prove otherwise. */
+        private @Nullable Failure doubt;
+
+        void add(Failure failure) {
+            if (doubt == null && !failure.provesNotRun()) {
+                doubt = failure;
+            }
+        }
+    }
+
+    /** Runs the call and reports how many attempts it took in the result. */
+    ForwardResult forward(OutboundCall outbound, RequestContext context, ReplayBody body) throws InterruptedException {
+        Progress progress = new Progress();
+        Optional<Failure> refusal = checkEntry(outbound, context);
+        if (refusal.isPresent()) {
+            return new ForwardResult(Either.left(refusal.get()), 0);
+        }
+        policies.retryPolicy(outbound.limits()).onFirstAttempt();
+        while (true) {
+            Either<Failure, Instance> selected = select(outbound, context, progress);
+            if (selected.isLeft()) {
+                return end(progress, context, selected.getLeft());
+            }
+            Instance instance = selected.get();
+            progress.triedHosts.add(instance.host());
+            progress.attempts++;
+            attempts.recordSent(outbound, context, instance, progress.attempts);
+            Either<Failure, OpenAnswer> answer = attempts.run(outbound, context, instance, body);
+            Optional<Failure> failure = failureOf(answer);
+            if (failure.isEmpty()) {
+                return new ForwardResult(answer, progress.attempts);
+            }
+            progress.add(failure.get());
+            recordFailure(outbound, context, instance, failure.get());
+            if (!mayRetry(outbound, context, body, progress, failure.get())) {
+                return answer.isRight()
+                        ? new ForwardResult(answer, progress.attempts)
+                        : end(progress, context, failure.get());
+            }
+        }
+    }
+
+    private Optional<Failure> checkEntry(OutboundCall outbound, RequestContext context) {
+        // Calls deeper in the chain are not refused here, because other services already worked for them.
+        if (context.depth() > 0) {
+            return Optional.empty();
+        }
+        List<Instance> instances = directory.instances(outbound.service());
+        return policies.gate(outbound.limits(), outbound.route()).check(context.criticality(), instances);
+    }
+
+    private Either<Failure, Instance> select(OutboundCall outbound, RequestContext context, Progress progress) {
+        if (context.timeLeftMs(clock) <= 0) {
+            return Either.left(Failure.of(ErrorKind.DEADLINE_BEFORE_RUN, "No time was left to send the call."));
+        }
+        List<Instance> candidates = directory.instances(outbound.service());
+        if (candidates.stream().allMatch(instance -> progress.triedHosts.contains(instance.host()))) {
+            progress.triedHosts.clear();
+        }
+        long volumeBytes = outbound.bodyBytes() < 0 ? ASSUMED_BODY_BYTES : outbound.bodyBytes();
+        RoutingRequest request = new RoutingRequest(context.criticality(), volumeBytes, progress.triedHosts);
+        return policies.selector(outbound.limits())
+                .select(request, candidates)
+                .<Either<Failure, Instance>>map(Either::right)
+                .orElseGet(() -> Either.left(Failure.of(
+                        ErrorKind.NO_INSTANCE,
+                        "Of " + candidates.size() + " known instances of " + outbound.service()
+                                + " none can be used.")));
+    }
+
+    /** Answers by which an instance says that it could not serve the call count as failures for idempotent calls. */
+    private static Optional<Failure> failureOf(Either<Failure, OpenAnswer> answer) {
+        if (answer.isLeft()) {
+            return Optional.of(answer.getLeft());
+        }
+        int status = answer.get().head().status();
+        if (status >= BAD_GATEWAY && status <= GATEWAY_TIMEOUT && answer.get().isComplete()) {
+            return Optional.of(
+                    Failure.of(ErrorKind.CONNECTION_LOST, "The backend server answered with status " + status + "."));
+        }
+        return Optional.empty();
+    }
+
+    private boolean mayRetry(
+            OutboundCall outbound, RequestContext context, ReplayBody body, Progress progress, Failure failure) {
+        if (context.cancellation().isPresent() || !body.rewind()) {
+            return false;
+        }
+        RetryQuestion question =
+                new RetryQuestion(failure, outbound.route().repeat(), progress.attempts, context.timeLeftMs(clock));
+        return policies.retryPolicy(outbound.limits()).mayRetry(question, context.allowance());
+    }
+
+    private static ForwardResult end(Progress progress, RequestContext context, Failure last) {
+        Failure result = last;
+        if (progress.doubt != null && last.provesNotRun()) {
+            result = Failure.of(progress.doubt.kind(), progress.doubt.detail() + " A later attempt: " + last.detail());
+        } else if (progress.attempts > 1 && last.kind() == ErrorKind.NO_INSTANCE) {
+            result = Failure.of(ErrorKind.RETRIES_EXHAUSTED, last.detail());
+        }
+        Optional<Failure> cancellation = context.cancellation();
+        if (cancellation.isPresent() && !result.provesNotRun()) {
+            result = cancellation.get();
+        }
+        return new ForwardResult(Either.left(result), progress.attempts);
+    }
+
+    private void recordFailure(OutboundCall outbound, RequestContext context, Instance instance, Failure failure) {
+        journal.record(
+                context.requestId(),
+                failure.provesNotRun() ? EventKind.REFUSED : EventKind.FAILED,
+                String.format(
+                        "The attempt at %s on host %s ended with %s (%s): %s",
+                        outbound.service(),
+                        instance.host(),
+                        failure.kind().code(),
+                        failure.kind().outcome().headerValue(),
+                        failure.detail()));
+    }
+
+    /** Ends a streamed answer after its last part was read. */
+    void settle(OutboundCall outbound, RequestContext context, OpenAnswer answer) {
+        attempts.settle(outbound, context, answer.instance(), answer.call());
+    }
+}
--- /dev/null
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/CallPath.java
@@ -0,0 +1,138 @@
+package org.sequoianotch.daemon.call;
+
+import io.netty.util.Timer;
+import java.util.List;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+import org.sequoianotch.daemon.explain.Journal;
+import org.sequoianotch.daemon.http.HttpHandler;
+import org.sequoianotch.daemon.ledger.Ledger;
+import org.sequoianotch.model.DataCentre;
+import org.sequoianotch.protocol.link.CallHandler;
+import org.sequoianotch.protocol.link.PeerNetwork;
+import org.sequoianotch.template.TemplateSet;
+import org.sequoianotch.time.Clock;
+
+/**
+ * The parts of the way of a call, wired together: the handlers of the caller listener, of the backend listener and of
+ * the peer listener.
+ *
+ * <p>This class is thread-safe.
+ */
+public final class CallPath {
+    private final ContextRegistry contexts = new ContextRegistry();
+    private final LocalInstances instances;
+    private final InstanceServer server;
+    private final CallerHandler callerHandler;
+    private final BackendHandler backendHandler;
+
+    /**
+     * Wires the parts.
+     *
+     * @param surroundings what the parts share; not null
+     * @param instances the instances on this host; not null
+     * @param network the links to other nodes; not null
+     * @param directory knows the instances of all services; not null
+     * @param policies the decision makers; not null
+     * @param ledger decides about idempotency keys; not null
+     */
+    public CallPath(
+            Surroundings surroundings,
+            LocalInstances instances,
+            PeerNetwork network,
+            InstanceDirectory directory,
+            ServicePolicies policies,
+            Ledger ledger) {
+        this.instances = instances;
+        Clock clock = surroundings.clock();
+        Journal journal = surroundings.journal();
+        server = new InstanceServer(instances, contexts, journal, clock, surroundings.timer(), surroundings.random());
+        AttemptRunner attempts = new AttemptRunner(surroundings.place(), network, server, policies, journal, clock);
+        CallForwarder forwarder = new CallForwarder(directory, policies, attempts, journal, clock);
+        RequestRunner runner = new RequestRunner(forwarder, ledger, surroundings.ledgerDataCentres(), journal, clock);
+        CallRules rules = new CallRules(surroundings.templates());
+        callerHandler = new CallerHandler(rules, runner, surroundings);
+        backendHandler = new BackendHandler(rules, runner, contexts, instances, clock);
+    }
+
+    /**
+     * Returns the handler of the caller listener.
+     *
+     * @return the handler, never null
+     */
+    public HttpHandler callerHandler() {
+        return callerHandler;
+    }
+
+    /**
+     * Returns the handler of the backend listener.
+     *
+     * @return the handler, never null
+     */
+    public HttpHandler backendHandler() {
+        return backendHandler;
+    }
+
+    /**
+     * Returns the handler of calls from other nodes.
+     *
+     * @return the handler, never null
+     */
+    public CallHandler peerHandler() {
+        return server;
+    }
+
+    /**
+     * Returns the number of requests that are open at this host's backend server.
+     *
+     * @return the number; not negative
+     */
+    public int openRequests() {
+        return contexts.size();
+    }
+
+    /**
+     * Returns the instances on this host.
+     *
+     * @return the instances, never null
+     */
+    public LocalInstances instances() {
+        return instances;
+    }
+
+    /**
+     * What the parts of the call path share.
+     *
+     * @param place where this node runs; not null
+     * @param templates the templates in force; not null
+     * @param journal takes down what happened; not null
+     * @param clock the clock; not null
+     * @param timer ends requests at their deadline; not null
+     * @param random source of randomness, safe for several threads; not null
+     * @param ledgerDataCentres data centres that have a ledger; not null, not empty
+     * @param ledgerEpoch epoch that new keys are minted with; positive
+     */
+    public record Surroundings(
+            HostPlace place,
+            Supplier<TemplateSet> templates,
+            Journal journal,
+            Clock clock,
+            Timer timer,
+            RandomGenerator random,
+            List<DataCentre> ledgerDataCentres,
+            long ledgerEpoch) {
+        /** Copies the list. */
+        public Surroundings {
+            ledgerDataCentres = List.copyOf(ledgerDataCentres);
+        }
+
+        /**
+         * Returns the home of keys minted on this node.
+         *
+         * @return the node's own data centre if it has a ledger, otherwise the first that has one; never null
+         */
+        public DataCentre homeOfNewKeys() {
+            return ledgerDataCentres.contains(place.dataCentre()) ? place.dataCentre() : ledgerDataCentres.get(0);
+        }
+    }
+}
--- /dev/null
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/CallerHandler.java
@@ -0,0 +1,133 @@
+package org.sequoianotch.daemon.call;
+
+import io.netty.util.Timeout;
+import io.vavr.control.Either;
+import java.util.concurrent.TimeUnit;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.sequoianotch.daemon.explain.EventKind;
+import org.sequoianotch.daemon.explain.Journal;
+import org.sequoianotch.daemon.explain.RequestSummary;
+import org.sequoianotch.daemon.http.HttpExchange;
+import org.sequoianotch.daemon.http.HttpHandler;
+import org.sequoianotch.daemon.http.Problem;
+import org.sequoianotch.daemon.http.WholeResponse;
+import org.sequoianotch.daemon.ledger.IdempotencyKey;
+import org.sequoianotch.error.ErrorKind;
+import org.sequoianotch.error.Failure;
+import org.sequoianotch.model.RequestId;
+import org.sequoianotch.policy.retry.RetryAllowance;
+import org.sequoianotch.time.Clock;
+
+/**
+ * Serves requests from outside: gives each a context of its own and runs it.
+ *
+ * <p>This class is thread-safe.
+ */
+final class CallerHandler implements HttpHandler {
+    private static final Logger LOG = LogManager.getLogger(CallerHandler.class);
+    private static final String KEYS_PATH = "/v1/keys";
+    private static final int CREATED = 201;
+
+    private final CallRules rules;
+    private final RequestRunner runner;
+    private final CallPath.Surroundings surroundings;
+    private final Journal journal;
+    private final Clock clock;
+
+    CallerHandler(CallRules rules, RequestRunner runner, CallPath.Surroundings surroundings) {
+        this.rules = rules;
+        this.runner = runner;
+        this.surroundings = surroundings;
+        this.journal = surroundings.journal();
+        this.clock = surroundings.clock();
+    }
+
+    @Override
+    public void handle(HttpExchange exchange) throws InterruptedException {
+        if (exchange.uri().equals(KEYS_PATH) && exchange.method().equals("POST")) {
+            IdempotencyKey key = IdempotencyKey.mint(
+                    surroundings.homeOfNewKeys(), surroundings.ledgerEpoch(), clock.nowMs(), surroundings.random());
+            exchange.respond(WholeResponse.ofText(CREATED, "text/plain; charset=utf-8", key.text() + "\n"));
+            return;
+        }
+        RequestId requestId = RequestId.random(surroundings.random());
+        Either<Failure, OutboundCall> read = rules.read(exchange);
+        Either<Failure, Long> timeoutMs =
+                read.flatMap(call -> CallRules.timeoutMs(exchange, call.route().deadlineMs()));
+        if (timeoutMs.isLeft()) {
+            refuseEarly(exchange, requestId, timeoutMs.getLeft());
+            return;
+        }
+        OutboundCall outbound = read.get();
+        if (outbound.route().repeat().needsKey() && outbound.keyText().isEmpty()) {
+            String detail = "The route \"" + outbound.route().label() + "\" runs at most once for each key.";
+            refuseEarly(exchange, requestId, Failure.of(ErrorKind.KEY_REQUIRED, detail));
+            return;
+        }
+        run(exchange, outbound, requestId, timeoutMs.get());
+    }
+
+    private void refuseEarly(HttpExchange exchange, RequestId requestId, Failure failure) throws InterruptedException {
+        journal.record(
+                requestId, EventKind.REFUSED, "Refused with " + failure.kind().code() + ": " + failure.detail());
+        exchange.respond(Problem.of(failure).plusHeader(RequestRunner.REQUEST_ID_HEADER, requestId.toString()));
+    }
+
+    private void run(HttpExchange exchange, OutboundCall outbound, RequestId requestId, long timeoutMs)
+            throws InterruptedException {
+        double startedAtMs = clock.monotonicMs();
+        RequestContext context = new RequestContext(
+                requestId,
+                outbound.route().criticality(),
+                0,
+                startedAtMs + timeoutMs,
+                RetryAllowance.of(outbound.route().retryAllowance()));
+        journal.record(
+                requestId,
+                EventKind.RECEIVED,
+                String.format(
+                        "Received %s /%s%s as %s by %s, with %d ms and %d retries.",
+                        outbound.method(),
+                        outbound.service(),
+                        outbound.path(),
+                        context.criticality().code(),
+                        outbound.ruleLabel(),
+                        timeoutMs,
+                        outbound.route().retryAllowance()));
+        Timeout deadline = surroundings
+                .timer()
+                .newTimeout(
+                        timeout -> context.cancel(Failure.of(
+                                ErrorKind.DEADLINE_IN_DOUBT, "The deadline of " + timeoutMs + " ms passed.")),
+                        timeoutMs,
+                        TimeUnit.MILLISECONDS);
+        exchange.onClose(() -> context.cancel(Failure.of(ErrorKind.CALLER_GONE, "The caller closed its connection.")));
+        RunResult result = runGuarded(exchange, outbound, context);
+        deadline.cancel();
+        journal.finish(new RequestSummary(
+                requestId,
+                outbound.route(),
+                outbound.revision(),
+                result.status(),
+                result.errorKind(),
+                clock.monotonicMs() - startedAtMs,
+                result.attempts()));
+    }
+
+    private RunResult runGuarded(HttpExchange exchange, OutboundCall outbound, RequestContext context)
+            throws InterruptedException {
+        try {
+            return runner.run(exchange, outbound, context);
+        } catch (RuntimeException e) {
+            LOG.error("[call] Request {} failed on a defect.", context.requestId(), e);
+            if (exchange.isHeadSent()) {
+                exchange.abort();
+                return new RunResult(ErrorKind.INTERNAL.status(), ErrorKind.INTERNAL, 0);
+            }
+            return runner.refuse(exchange, context, Failure.of(ErrorKind.INTERNAL, e.toString()), 0);
+        } finally {
+            context.cancel(Failure.of(ErrorKind.CALLER_GONE, "The request has ended."));
+        }
+    }
+}
--- /dev/null
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/ForwardResult.java
@@ -0,0 +1,12 @@
+package org.sequoianotch.daemon.call;
+
+import io.vavr.control.Either;
+import org.sequoianotch.error.Failure;
+
+/**
+ * How a call ended over all its attempts.
+ *
+ * @param answer the answer, or the failure to report; not null
+ * @param attempts attempts made; not negative
+ */
+record ForwardResult(Either<Failure, OpenAnswer> answer, int attempts) {}
--- /dev/null
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/InstanceServer.java
@@ -0,0 +1,319 @@
+package org.sequoianotch.daemon.call;
+
+import io.netty.util.Timeout;
+import io.netty.util.Timer;
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.sequoianotch.daemon.explain.EventKind;
+import org.sequoianotch.daemon.explain.Journal;
+import org.sequoianotch.daemon.http.BackendConnection;
+import org.sequoianotch.daemon.http.HeaderFields;
+import org.sequoianotch.error.ErrorKind;
+import org.sequoianotch.error.Failure;
+import org.sequoianotch.model.LoadReport;
+import org.sequoianotch.policy.admission.AdmissionRequest;
+import org.sequoianotch.policy.admission.AdmissionTicket;
+import org.sequoianotch.policy.admission.CallResult;
+import org.sequoianotch.policy.admission.Permit;
+import org.sequoianotch.policy.retry.RetryAllowance;
+import org.sequoianotch.protocol.AnswerHeader;
+import org.sequoianotch.protocol.AnswerTrailer;
+import org.sequoianotch.protocol.CallHeader;
+import org.sequoianotch.protocol.HeaderField;
+import org.sequoianotch.protocol.link.CallHandler;
+import org.sequoianotch.protocol.link.IncomingCall;
+import org.sequoianotch.time.Clock;
+
+/**
+ * Serves calls at the instance on this host: admission, then the backend server, then the answer.
+ *
+ * <p>This class is thread-safe; each call is served on a thread of its own.
+ */
+public final class InstanceServer implements CallHandler {
+    private static final Logger LOG = LogManager.getLogger(InstanceServer.class);
+    /** Load reported by a node that has no instance of the service; it says nothing about any instance. */
+    private static final LoadReport NO_LOAD = new LoadReport(0, 1, 0, LoadReport.ADMIT_ALL);
+
+    private static final int SERVICE_UNAVAILABLE = 503;
+    private static final int SERVER_ERROR = 500;
+
+    private final LocalInstances instances;
+    private final ContextRegistry contexts;
+    private final Journal journal;
+    private final Clock clock;
+    private final Timer timer;
+    private final RandomGenerator random;
+
+    /**
+     * Creates a server.
+     *
+     * @param instances the instances on this host; not null
+     * @param contexts the contexts of open calls; not null
+     * @param journal takes down what happened; not null
+     * @param clock the clock; not null
+     * @param timer ends calls at their deadline; not null
+     * @param random source of span ids; not null
+     */
+    public InstanceServer(
+            LocalInstances instances,
+            ContextRegistry contexts,
+            Journal journal,
+            Clock clock,
+            Timer timer,
+            RandomGenerator random) {
+        this.instances = instances;
+        this.contexts = contexts;
+        this.journal = journal;
+        this.clock = clock;
+        this.timer = timer;
+        this.random = random;
+    }
+
+    @Override
+    public void handle(IncomingCall call) {
+        CallHeader header = call.header();
+        RequestContext context = new RequestContext(
+                header.requestId(),
+                header.criticality(),
+                header.depth() + 1,
+                clock.monotonicMs() + header.timeLeftMs(),
+                RetryAllowance.of(header.retryShare()));
+        Timeout deadline = timer.newTimeout(
+                timeout -> context.cancel(
+                        Failure.of(ErrorKind.DEADLINE_IN_DOUBT, "The deadline passed at the instance's node.")),
+                header.timeLeftMs(),
+                TimeUnit.MILLISECONDS);
+        call.onCancel(() -> context.cancel(Failure.of(ErrorKind.CALLER_GONE, "The calling node cancelled the call.")));
+        try {
+            admit(call, context);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } catch (RuntimeException e) {
+            LOG.error("[call] A call of {} failed on a defect.", header.service(), e);
+            refuse(call, context, Failure.of(ErrorKind.INTERNAL, e.toString()), NO_LOAD);
+        } finally {
+            deadline.cancel();
+        }
+    }
+
+    private void admit(IncomingCall call, RequestContext context) throws InterruptedException {
+        LocalInstance instance = instances.find(call.header().service());
+        if (instance == null) {
+            String detail = "There is no instance of " + call.header().service() + " on this host.";
+            refuse(call, context, Failure.of(ErrorKind.NO_INSTANCE, detail), NO_LOAD);
+            return;
+        }
+        if (instances.isDraining() || !instance.state().acceptsWork()) {
+            String detail = "The instance of " + call.header().service() + " is leaving.";
+            refuse(
+                    call,
+                    context,
+                    Failure.of(ErrorKind.DRAINING, detail),
+                    instance.admission().load());
+            return;
+        }
+        AdmissionTicket ticket = instance.admission()
+                .submit(new AdmissionRequest(
+                        context.requestId(),
+                        context.criticality(),
+                        call.header().depth(),
+                        context.deadlineAtMs()));
+        Runnable leaveQueue = ticket::cancel;
+        context.onCancel(leaveQueue);
+        Either<Failure, Permit> admitted = ticket.await();
+        context.removeCancelAction(leaveQueue);
+        if (admitted.isLeft()) {
+            refuse(call, context, admitted.getLeft(), instance.admission().load());
+            return;
+        }
+        serve(call, context, instance, admitted.get());
+    }
+
+    private void serve(IncomingCall call, RequestContext context, LocalInstance instance, Permit permit)
+            throws InterruptedException {
+        double startedAtMs = clock.monotonicMs();
+        CallResult result = CallResult.FAILED;
+        contexts.add(context);
+        try {
+            Either<Failure, BackendConnection> connected = instance.client().connect();
+            if (connected.isLeft()) {
+                refuse(call, context, connected.getLeft(), instance.admission().load());
+                result = CallResult.OVERLOADED;
+                return;
+            }
+            BackendConnection connection = connected.get();
+            Runnable close = connection::close;
+            context.onCancel(close);
+            Either<Failure, Integer> answered = exchange(call, context, instance, connection, permit);
+            context.removeCancelAction(close);
+            result = resultOf(answered, context);
+            if (answered.isLeft()) {
+                connection.close();
+                refuse(
+                        call,
+                        context,
+                        withCancellation(answered.getLeft(), context),
+                        instance.admission().load());
+            } else {
+                connection.finish();
+            }
+        } finally {
+            contexts.remove(context);
+            permit.release(result, clock.monotonicMs() - startedAtMs);
+        }
+    }
+
+    private static CallResult resultOf(Either<Failure, Integer> answered, RequestContext context) {
+        if (answered.isRight()) {
+            if (answered.get() == SERVICE_UNAVAILABLE) {
+                return CallResult.OVERLOADED;
+            }
+            return answered.get() >= SERVER_ERROR ? CallResult.FAILED : CallResult.ANSWERED;
+        }
+        Optional<Failure> cancellation = context.cancellation();
+        if (cancellation.isPresent() && cancellation.get().kind() == ErrorKind.CALLER_GONE) {
+            return CallResult.CANCELLED;
+        }
+        return answered.getLeft().kind() == ErrorKind.BODY_INCOMPLETE ? CallResult.CANCELLED : CallResult.OVERLOADED;
+    }
+
+    private static Failure withCancellation(Failure failure, RequestContext context) {
+        return failure.provesNotRun() ? failure : context.cancellation().orElse(failure);
+    }
+
+    /** Carries the call over the connection; returns the status of the answer, or the failure that cut it. */
+    private Either<Failure, Integer> exchange(
+            IncomingCall call,
+            RequestContext context,
+            LocalInstance instance,
+            BackendConnection connection,
+            Permit permit)
+            throws InterruptedException {
+        CallHeader header = call.header();
+        if (context.cancellation().isPresent() || context.timeLeftMs(clock) <= 0) {
+            return Either.left(
+                    Failure.of(ErrorKind.DEADLINE_BEFORE_RUN, "The deadline passed while the call was waiting."));
+        }
+        journal.record(
+                context.requestId(),
+                EventKind.ADMITTED,
+                String.format(
+                        "Sent to the backend server of %s after %.1f ms in the queue, with %d of %d calls in flight.",
+                        header.service(),
+                        permit.waitedMs(),
+                        instance.admission().load().inFlight(),
+                        instance.admission().load().limit()));
+        boolean started = connection.start(
+                header.method(), header.path(), backendHeaders(header, context), header.bodyBytes(), leftMs(context));
+        if (!started) {
+            return Either.left(Failure.of(
+                    ErrorKind.CONNECTION_LOST, "The backend server closed the connection before the request."));
+        }
+        Either<Failure, Void> sent = sendBody(call, context, connection);
+        if (sent.isLeft()) {
+            return Either.left(sent.getLeft());
+        }
+        Either<Failure, AnswerHeader> head = connection.awaitAnswer(leftMs(context));
+        if (head.isLeft()) {
+            return Either.left(head.getLeft());
+        }
+        return passAnswer(call, context, instance, connection, head.get());
+    }
+
+    private List<HeaderField> backendHeaders(CallHeader header, RequestContext context) {
+        List<HeaderField> headers = new ArrayList<>(header.headers());
+        headers.add(new HeaderField(TraceParent.HEADER, TraceParent.format(context.requestId(), random.nextLong())));
+        headers.add(new HeaderField("Sequoianotch-Timeout-Ms", Long.toString(leftMs(context))));
+        return headers;
+    }
+
+    private Either<Failure, Void> sendBody(IncomingCall call, RequestContext context, BackendConnection connection)
+            throws InterruptedException {
+        if (call.header().bodyBytes() == 0) {
+            return Either.right(null);
+        }
+        while (true) {
+            Either<Failure, Optional<byte[]>> part = call.readBody();
+            if (part.isLeft()) {
+                return Either.left(Failure.of(
+                        ErrorKind.BODY_INCOMPLETE,
+                        "The request body ended early: " + part.getLeft().detail()));
+            }
+            boolean passed = part.get().isPresent()
+                    ? connection.write(part.get().get(), leftMs(context))
+                    : connection.end(leftMs(context));
+            if (!passed) {
+                return Either.left(Failure.of(
+                        ErrorKind.CONNECTION_LOST, "The backend server did not take the whole request body."));
+            }
+            if (part.get().isEmpty()) {
+                return Either.right(null);
+            }
+        }
+    }
+
+    private Either<Failure, Integer> passAnswer(
+            IncomingCall call,
+            RequestContext context,
+            LocalInstance instance,
+            BackendConnection connection,
+            AnswerHeader head) {
+        AnswerHeader passedOn =
+                new AnswerHeader(head.status(), HeaderFields.endToEnd(head.headers()), head.bodyBytes());
+        Either<Failure, Void> passed = call.answer(passedOn);
+        try {
+            while (passed.isRight()) {
+                Either<Failure, Optional<byte[]>> part = connection.readAnswerBody(leftMs(context));
+                if (part.isLeft()) {
+                    return Either.left(part.getLeft());
+                }
+                if (part.get().isEmpty()) {
+                    break;
+                }
+                passed = call.writeBody(part.get().get());
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return Either.left(Failure.of(ErrorKind.INTERNAL, "The node is being stopped."));
+        }
+        if (passed.isLeft()) {
+            return Either.left(passed.getLeft());
+        }
+        journal.record(
+                context.requestId(),
+                EventKind.ANSWERED,
+                "The backend server of " + call.header().service() + " answered with status " + head.status() + ".");
+        call.end(trailer(context, instance.admission().load()));
+        return Either.right(head.status());
+    }
+
+    private void refuse(IncomingCall call, RequestContext context, Failure failure, LoadReport load) {
+        EventKind kind = failure.provesNotRun() ? EventKind.REFUSED : EventKind.FAILED;
+        journal.record(
+                context.requestId(),
+                kind,
+                String.format(
+                        "The call of %s ended at the instance's node with %s: %s In flight %d of %d, queued %d.",
+                        call.header().service(),
+                        failure.kind().code(),
+                        failure.detail(),
+                        load.inFlight(),
+                        load.limit(),
+                        load.queued()));
+        call.refuse(failure, trailer(context, load));
+    }
+
+    private static AnswerTrailer trailer(RequestContext context, LoadReport load) {
+        return new AnswerTrailer(context.allowance().close(), context.combine(load));
+    }
+
+    private long leftMs(RequestContext context) {
+        return Math.max(1, context.timeLeftMs(clock));
+    }
+}
--- /dev/null
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/LocalCall.java
@@ -0,0 +1,158 @@
+package org.sequoianotch.daemon.call;
+
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.jspecify.annotations.Nullable;
+import org.sequoianotch.error.ErrorKind;
+import org.sequoianotch.error.Failure;
+import org.sequoianotch.model.HostId;
+import org.sequoianotch.protocol.AnswerHeader;
+import org.sequoianotch.protocol.AnswerTrailer;
+import org.sequoianotch.protocol.CallHeader;
+import org.sequoianotch.protocol.link.CallHandler;
+import org.sequoianotch.protocol.link.IncomingCall;
+import org.sequoianotch.protocol.link.PeerCall;
+
+/**
+ * A call to the instance on the node's own host: both ends of a call without a link in between, so that the serving
+ * side runs the same code for local and remote calls.
+ */
+final class LocalCall implements PeerCall {
+    private static final long NO_TIMEOUT_MS = Long.MAX_VALUE / 2_000_000;
+
+    private final BodyPipe request = new BodyPipe();
+    private final BodyPipe answer = new BodyPipe();
+    private final CompletableFuture<Either<Failure, AnswerHeader>> head = new CompletableFuture<>();
+    private final List<Runnable> cancelActions = new ArrayList<>();
+    private volatile @Nullable AnswerTrailer trailer;
+    private boolean cancelled;
+
+    private LocalCall() {}
+
+    static LocalCall open(CallHeader header, HostId host, CallHandler handler) {
+        LocalCall call = new LocalCall();
+        IncomingCall incoming = call.new ServingEnd(header, host);
+        Thread.ofVirtual().name("local-call").start(() -> handler.handle(incoming));
+        return call;
+    }
+
+    @Override
+    public Either<Failure, Void> writeBody(byte[] bytes) {
+        return request.write(bytes);
+    }
+
+    @Override
+    public Either<Failure, Void> endBody() {
+        return request.end();
+    }
+
+    @Override
+    public Either<Failure, AnswerHeader> awaitAnswer(long timeoutMs) {
+        try {
+            return head.get(timeoutMs, TimeUnit.MILLISECONDS);
+        } catch (TimeoutException e) {
+            return Either.left(Failure.of(ErrorKind.DEADLINE_IN_DOUBT, "No answer came within " + timeoutMs + " ms."));
+        } catch (ExecutionException e) {
+            return Either.left(Failure.of(ErrorKind.INTERNAL, String.valueOf(e.getCause())));
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return Either.left(Failure.of(ErrorKind.CALLER_GONE, "The thread was interrupted."));
+        }
+    }
+
+    @Override
+    public Either<Failure, Optional<byte[]>> readAnswerBody(long timeoutMs) {
+        return answer.read(timeoutMs);
+    }
+
+    @Override
+    public Optional<AnswerTrailer> trailer() {
+        return Optional.ofNullable(trailer);
+    }
+
+    @Override
+    public void cancel(String reason) {
+        List<Runnable> actions;
+        synchronized (cancelActions) {
+            cancelled = true;
+            actions = List.copyOf(cancelActions);
+            cancelActions.clear();
+        }
+        Failure failure = Failure.of(ErrorKind.CALLER_GONE, reason);
+        request.fail(failure);
+        answer.fail(failure);
+        head.complete(Either.left(failure));
+        actions.forEach(Runnable::run);
+    }
+
+    /** The end that the instance's node serves. */
+    private final class ServingEnd implements IncomingCall {
+        private final CallHeader header;
+        private final HostId host;
+
+        ServingEnd(CallHeader header, HostId host) {
+            this.header = header;
+            this.host = host;
+        }
+
+        @Override
+        public CallHeader header() {
+            return header;
+        }
+
+        @Override
+        public HostId from() {
+            return host;
+        }
+
+        @Override
+        public Either<Failure, Optional<byte[]>> readBody() {
+            return request.read(NO_TIMEOUT_MS);
+        }
+
+        @Override
+        public Either<Failure, Void> answer(AnswerHeader answerHeader) {
+            head.complete(Either.right(answerHeader));
+            return Either.right(null);
+        }
+
+        @Override
+        public Either<Failure, Void> writeBody(byte[] bytes) {
+            return answer.write(bytes);
+        }
+
+        @Override
+        public Either<Failure, Void> end(AnswerTrailer answerTrailer) {
+            trailer = answerTrailer;
+            return answer.end();
+        }
+
+        @Override
+        public void refuse(Failure failure, AnswerTrailer answerTrailer) {
+            trailer = answerTrailer;
+            request.fail(failure);
+            answer.fail(failure);
+            head.complete(Either.left(failure));
+        }
+
+        @Override
+        public void onCancel(Runnable action) {
+            boolean runNow;
+            synchronized (cancelActions) {
+                runNow = cancelled;
+                if (!cancelled) {
+                    cancelActions.add(action);
+                }
+            }
+            if (runNow) {
+                action.run();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/LocalInstance.java
@@ -0,0 +1,34 @@
+package org.sequoianotch.daemon.call;
+
+import org.sequoianotch.daemon.http.BackendClient;
+import org.sequoianotch.model.BackendState;
+import org.sequoianotch.model.ServiceName;
+import org.sequoianotch.policy.admission.AdmissionControl;
+
+/**
+ * The instance on this node's host, as its backend server announced it.
+ *
+ * <p>This type is immutable; its admission and client are thread-safe.
+ *
+ * @param service the service; not null
+ * @param port port at which the backend server listens
+ * @param slots calls that it runs at once; at least 1
+ * @param state the announced state; not null
+ * @param leaseUntilMs end of the lease on the monotonic clock, in milliseconds
+ * @param startedAtMs wall-clock time of the first announcement
+ * @param admission admission of calls; not null
+ * @param client connections to the backend server; not null
+ */
+record LocalInstance(
+        ServiceName service,
+        int port,
+        int slots,
+        BackendState state,
+        double leaseUntilMs,
+        long startedAtMs,
+        AdmissionControl admission,
+        BackendClient client) {
+    LocalInstance withLease(BackendState newState, double newLeaseUntilMs) {
+        return new LocalInstance(service, port, slots, newState, newLeaseUntilMs, startedAtMs, admission, client);
+    }
+}
--- /dev/null
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/LocalInstances.java
@@ -0,0 +1,222 @@
+package org.sequoianotch.daemon.call;
+
+import io.netty.channel.EventLoopGroup;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.jspecify.annotations.Nullable;
+import org.sequoianotch.daemon.http.BackendClient;
+import org.sequoianotch.model.BackendState;
+import org.sequoianotch.model.Instance;
+import org.sequoianotch.model.LoadReport;
+import org.sequoianotch.model.ServiceName;
+import org.sequoianotch.policy.PolicyMode;
+import org.sequoianotch.policy.admission.AdmissionControl;
+import org.sequoianotch.template.ServiceRule;
+import org.sequoianotch.template.TemplateSet;
+import org.sequoianotch.time.Clock;
+
+/**
+ * The instances on this node's host: their leases, admission and connections.
+ *
+ * <p>This class is thread-safe.
+ */
+public final class LocalInstances {
+    private static final Logger LOG = LogManager.getLogger(LocalInstances.class);
+    private static final int CONNECT_TIMEOUT_MS = 500;
+
+    private final HostPlace place;
+    private final InetAddress backendAddress;
+    private final long leaseMs;
+    private final PolicyMode mode;
+    private final Clock clock;
+    private final EventLoopGroup eventLoops;
+    private final Supplier<TemplateSet> templates;
+    private final Map<ServiceName, LocalInstance> instances = new ConcurrentHashMap<>();
+    private volatile Consumer<List<Instance>> onChange = changed -> {};
+    private volatile boolean draining;
+
+    /**
+     * Creates an empty set.
+     *
+     * @param place where this node runs; not null
+     * @param backendAddress IP number of the backend server; not null
+     * @param leaseMs how long an announcement holds, in milliseconds; positive
+     * @param mode protective or naive decisions; not null
+     * @param clock the clock; not null
+     * @param eventLoops event loops that carry the connections to the backend server; not null
+     * @param templates the templates in force; not null
+     */
+    public LocalInstances(
+            HostPlace place,
+            InetAddress backendAddress,
+            long leaseMs,
+            PolicyMode mode,
+            Clock clock,
+            EventLoopGroup eventLoops,
+            Supplier<TemplateSet> templates) {
+        this.place = place;
+        this.backendAddress = backendAddress;
+        this.leaseMs = leaseMs;
+        this.mode = mode;
+        this.clock = clock;
+        this.eventLoops = eventLoops;
+        this.templates = templates;
+    }
+
+    /**
+     * Sets what is told of every change of the instances, but not of a mere renewal.
+     *
+     * @param action takes the instances as other nodes should see them; not null
+     */
+    public void setOnChange(Consumer<List<Instance>> action) {
+        onChange = action;
+    }
+
+    /**
+     * Takes in an announcement, which begins or renews a lease.
+     *
+     * @param announcement the announcement; not null
+     * @return the length of the lease in milliseconds
+     */
+    public synchronized long announce(Announcement announcement) {
+        LocalInstance known = instances.get(announcement.service());
+        double leaseUntilMs = clock.monotonicMs() + leaseMs;
+        if (known != null && known.port() == announcement.port() && known.slots() == announcement.slots()) {
+            instances.put(announcement.service(), known.withLease(announcement.state(), leaseUntilMs));
+            if (known.state() != announcement.state()) {
+                LOG.info(
+                        "[node] Instance of {} is {}.",
+                        announcement.service(),
+                        announcement.state().code());
+                tellChange();
+            }
+            return leaseMs;
+        }
+        if (known != null) {
+            known.client().close();
+        }
+        instances.put(announcement.service(), create(announcement, leaseUntilMs));
+        LOG.info("[node] Instance of {} announced itself with {} slots.", announcement.service(), announcement.slots());
+        tellChange();
+        return leaseMs;
+    }
+
+    private LocalInstance create(Announcement announcement, double leaseUntilMs) {
+        BackendClient client = new BackendClient(
+                new InetSocketAddress(backendAddress, announcement.port()), eventLoops, CONNECT_TIMEOUT_MS, clock);
+        return new LocalInstance(
+                announcement.service(),
+                announcement.port(),
+                announcement.slots(),
+                announcement.state(),
+                leaseUntilMs,
+                clock.nowMs(),
+                newAdmission(announcement.service(), announcement.slots()),
+                client);
+    }
+
+    private AdmissionControl newAdmission(ServiceName service, int slots) {
+        ServiceRule rule = templates
+                .get()
+                .templateOf(service)
+                .flatMap(template -> template.service(service))
+                .orElseGet(() -> ServiceRule.ofDefaults(service));
+        return mode.newAdmission(rule, slots, clock);
+    }
+
+    /**
+     * Renews the admission of all instances from the templates in force, after those have changed.
+     */
+    public synchronized void applyTemplates() {
+        instances.replaceAll((service, known) -> new LocalInstance(
+                service,
+                known.port(),
+                known.slots(),
+                known.state(),
+                known.leaseUntilMs(),
+                known.startedAtMs(),
+                newAdmission(service, known.slots()),
+                known.client()));
+    }
+
+    /** Removes instances whose lease has ended. To be called regularly. */
+    public synchronized void expire() {
+        double nowMs = clock.monotonicMs();
+        List<LocalInstance> expired = instances.values().stream()
+                .filter(instance -> instance.leaseUntilMs() < nowMs)
+                .toList();
+        for (LocalInstance instance : expired) {
+            instances.remove(instance.service());
+            instance.client().close();
+            LOG.warn("[node] The lease of the instance of {} ended; no calls go to it.", instance.service());
+        }
+        if (!expired.isEmpty()) {
+            tellChange();
+        }
+    }
+
+    /** Announces all instances as leaving and refuses new calls from now on. */
+    public synchronized void drain() {
+        draining = true;
+        tellChange();
+    }
+
+    /**
+     * Tells whether this node is leaving.
+     *
+     * @return true after {@link #drain}
+     */
+    public boolean isDraining() {
+        return draining;
+    }
+
+    @Nullable
+    LocalInstance find(ServiceName service) {
+        return instances.get(service);
+    }
+
+    /**
+     * Returns the load of an instance.
+     *
+     * @param service the service; not null
+     * @return the load, or empty if there is no instance of the service on this host
+     */
+    public Optional<LoadReport> load(ServiceName service) {
+        return Optional.ofNullable(instances.get(service))
+                .map(instance -> instance.admission().load());
+    }
+
+    /**
+     * Returns the instances as other nodes should see them.
+     *
+     * @return the instances, never null, may be empty
+     */
+    public List<Instance> announced() {
+        List<Instance> all = new ArrayList<>();
+        instances
+                .values()
+                .forEach(instance -> all.add(new Instance(
+                        instance.service(),
+                        place.host(),
+                        place.dataCentre(),
+                        place.region(),
+                        place.peerAddress(),
+                        instance.slots(),
+                        draining ? BackendState.DRAINING : instance.state(),
+                        instance.startedAtMs())));
+        return all;
+    }
+
+    private void tellChange() {
+        onChange.accept(announced());
+    }
+}
--- /dev/null
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/ReplayBody.java
@@ -0,0 +1,67 @@
+package org.sequoianotch.daemon.call;
+
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.sequoianotch.daemon.http.HttpExchange;
+import org.sequoianotch.error.Failure;
+
+/**
+ * A request body that is streamed and whose first part is kept, so that the call can be sent once more while no more
+ * than that part was taken from the caller. One thread uses it.
+ *
+ * <p>The part kept is as large as the send window of a call: a call that is refused before the backend server took its
+ * body has taken no more than that.
+ */
+final class ReplayBody {
+    static final int MAX_KEPT_BYTES = 131_072;
+
+    private final HttpExchange exchange;
+    private final List<byte[]> kept = new ArrayList<>();
+    private int keptBytes;
+    private int position;
+    private boolean ended;
+    private boolean replayable = true;
+
+    ReplayBody(HttpExchange exchange) {
+        this.exchange = exchange;
+        this.ended = !exchange.hasBody();
+    }
+
+    /** Starts again from the first byte; false if the kept part does not hold all that was taken. */
+    boolean rewind() {
+        position = 0;
+        return replayable;
+    }
+
+    Either<Failure, Optional<byte[]>> read() throws InterruptedException {
+        if (position < kept.size()) {
+            return Either.right(Optional.of(kept.get(position++)));
+        }
+        if (ended) {
+            return Either.right(Optional.empty());
+        }
+        Either<Failure, Optional<byte[]>> part = exchange.readBody();
+        if (part.isRight()) {
+            part.get().ifPresentOrElse(this::keep, () -> ended = true);
+        }
+        return part;
+    }
+
+    private void keep(byte[] bytes) {
+        keptBytes += bytes.length;
+        if (keptBytes > MAX_KEPT_BYTES) {
+            replayable = false;
+            kept.clear();
+            position = 0;
+            return;
+        }
+        kept.add(bytes);
+        position++;
+    }
+
+    boolean tookNothing() {
+        return keptBytes == 0;
+    }
+}
--- /dev/null
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/ServicePolicies.java
@@ -0,0 +1,80 @@
+package org.sequoianotch.daemon.call;
+
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.random.RandomGenerator;
+import org.sequoianotch.model.ServiceName;
+import org.sequoianotch.policy.PolicyMode;
+import org.sequoianotch.policy.admission.EntryGate;
+import org.sequoianotch.policy.retry.RetryPolicy;
+import org.sequoianotch.policy.routing.InstanceSelector;
+import org.sequoianotch.template.RouteRule;
+import org.sequoianotch.template.ServiceRule;
+import org.sequoianotch.time.Clock;
+
+/**
+ * The decision makers of this node for each service that it calls.
+ *
+ * <p>They keep what the node has seen of the service and are replaced when the limits of the service change. This class
+ * is thread-safe.
+ */
+public final class ServicePolicies {
+    private final PolicyMode mode;
+    private final HostPlace place;
+    private final int crossRegionPriceMsPerKib;
+    private final Clock clock;
+    private final RandomGenerator random;
+    private final Map<ServiceName, Policies> policies = new ConcurrentHashMap<>();
+
+    /**
+     * Creates an empty set.
+     *
+     * @param mode protective or naive decisions; not null
+     * @param place where this node runs; not null
+     * @param crossRegionPriceMsPerKib price of one KiB to another region, in milliseconds of latency; not negative
+     * @param clock the clock; not null
+     * @param random source of randomness, safe for several threads; not null
+     */
+    public ServicePolicies(
+            PolicyMode mode, HostPlace place, int crossRegionPriceMsPerKib, Clock clock, RandomGenerator random) {
+        this.mode = mode;
+        this.place = place;
+        this.crossRegionPriceMsPerKib = crossRegionPriceMsPerKib;
+        this.clock = clock;
+        this.random = random;
+    }
+
+    InstanceSelector selector(ServiceRule rule) {
+        return of(rule).selector;
+    }
+
+    RetryPolicy retryPolicy(ServiceRule rule) {
+        return of(rule).retryPolicy;
+    }
+
+    /** Gates are kept for each route, because routes of one service reach different services further down. */
+    EntryGate gate(ServiceRule rule, RouteRule route) {
+        return of(rule).gates.computeIfAbsent(route.label(), label -> mode.newEntryGate(clock, random));
+    }
+
+    private Policies of(ServiceRule rule) {
+        Policies known = policies.get(rule.service());
+        if (known != null && known.rule.equals(rule)) {
+            return known;
+        }
+        return policies.compute(
+                rule.service(),
+                (service, present) -> present != null && present.rule.equals(rule) ? present : create(rule));
+    }
+
+    private Policies create(ServiceRule rule) {
+        return new Policies(
+                rule,
+                mode.newSelector(rule, place.dataCentre(), place.region(), crossRegionPriceMsPerKib, clock, random),
+                mode.newRetryPolicy(rule, clock),
+                new ConcurrentHashMap<>());
+    }
+
+    private record Policies(
+            ServiceRule rule, InstanceSelector selector, RetryPolicy retryPolicy, Map<String, EntryGate> gates) {}
+}
--- /dev/null
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/explain/Journal.java
@@ -0,0 +1,22 @@
+package org.sequoianotch.daemon.explain;
+
+import org.sequoianotch.model.RequestId;
+
+/** Takes down what happened to requests on this node. Implementations are thread-safe and never block for long. */
+public interface Journal {
+    /**
+     * Takes down an event.
+     *
+     * @param requestId the request; not null
+     * @param kind the kind; not null
+     * @param sentence one or more plain sentences with the figures at that moment; not null
+     */
+    void record(RequestId requestId, EventKind kind, String sentence);
+
+    /**
+     * Takes down the end of a request from outside, at its entry node.
+     *
+     * @param summary how it ended; not null
+     */
+    void finish(RequestSummary summary);
+}
--- /dev/null
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/PartReader.java
@@ -0,0 +1,125 @@
+package org.sequoianotch.daemon.http;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import java.util.ArrayList;
+import java.util.List;
+import org.sequoianotch.protocol.HeaderField;
+
+/** Turns Netty's HTTP objects into {@link HttpPart}s and puts them into the queue of the connection. */
+final class PartReader extends ChannelInboundHandlerAdapter {
+    private final InboundQueue queue;
+    private final ChannelWriter writer;
+    private final Runnable onClosed;
+    private boolean malformed;
+    private boolean informational;
+
+    PartReader(InboundQueue queue, ChannelWriter writer, Runnable onClosed) {
+        this.queue = queue;
+        this.writer = writer;
+        this.onClosed = onClosed;
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+        try {
+            if (!malformed) {
+                read((HttpObject) message);
+            }
+        } finally {
+            ReferenceCountUtil.release(message);
+        }
+    }
+
+    private void read(HttpObject object) {
+        if (object.decoderResult().isFailure()) {
+            malformed = true;
+            queue.put(new HttpPart.Malformed(
+                    String.valueOf(object.decoderResult().cause().getMessage())));
+            return;
+        }
+        if (object instanceof HttpMessage message) {
+            readHead(message);
+        }
+        if (object instanceof HttpContent content) {
+            readContent(content);
+        }
+    }
+
+    private void readHead(HttpMessage message) {
+        boolean chunked = HttpUtil.isTransferEncodingChunked(message);
+        if (message instanceof HttpRequest request) {
+            if (chunked && message.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
+                malformed = true;
+                queue.put(new HttpPart.Malformed("Content-Length and Transfer-Encoding exclude each other"));
+                return;
+            }
+            long bodyBytes = chunked ? -1 : HttpUtil.getContentLength(message, 0L);
+            queue.put(new HttpPart.RequestHead(
+                    request.method().name(),
+                    request.uri(),
+                    fields(message.headers()),
+                    HttpUtil.isKeepAlive(message),
+                    HttpUtil.is100ContinueExpected(message),
+                    bodyBytes != 0,
+                    bodyBytes));
+        } else if (message instanceof HttpResponse response) {
+            int status = response.status().code();
+            informational = status < 200;
+            if (!informational) {
+                long bodyBytes = chunked ? -1 : HttpUtil.getContentLength(message, -1L);
+                boolean keepAlive = HttpUtil.isKeepAlive(message) && (chunked || bodyBytes >= 0);
+                queue.put(new HttpPart.ResponseHead(status, fields(message.headers()), keepAlive, bodyBytes));
+            }
+        }
+    }
+
+    private void readContent(HttpContent content) {
+        if (informational) {
+            return;
+        }
+        ByteBuf buffer = content.content();
+        if (buffer.isReadable()) {
+            queue.put(new HttpPart.Data(ByteBufUtil.getBytes(buffer)));
+        }
+        if (content instanceof LastHttpContent) {
+            queue.put(new HttpPart.End());
+        }
+    }
+
+    private static List<HeaderField> fields(HttpHeaders headers) {
+        List<HeaderField> fields = new ArrayList<>(headers.size());
+        headers.iteratorAsString()
+                .forEachRemaining(entry -> fields.add(new HeaderField(entry.getKey(), entry.getValue())));
+        return fields;
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext context) {
+        writer.signal();
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        queue.put(new HttpPart.Closed("the connection was closed by the other side"));
+        writer.signal();
+        onClosed.run();
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        context.close();
+    }
+}
--- /dev/null
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/ServerConnection.java
@@ -0,0 +1,171 @@
+package org.sequoianotch.daemon.http;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.socket.DuplexChannel;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.sequoianotch.error.ErrorKind;
+import org.sequoianotch.error.Failure;
+
+/** One accepted connection: reads requests one after the other and hands each to the handler. */
+final class ServerConnection implements Runnable {
+    private static final Logger LOG = LogManager.getLogger(ServerConnection.class);
+    /** Time and volume for which unread input is discarded, so that a response is not lost to a connection reset. */
+    private static final long LINGER_MS = 2_000;
+
+    private static final long LINGER_BYTES = 1_048_576;
+
+    private final Channel channel;
+    private final HttpListener listener;
+    private final ListenerOptions options;
+    private final HttpHandler handler;
+    private final InboundQueue queue;
+    private final ChannelWriter writer;
+    private final List<Runnable> closeActions = new ArrayList<>();
+    private boolean closed;
+    private volatile boolean idle = true;
+
+    ServerConnection(Channel channel, HttpListener listener, ListenerOptions options, HttpHandler handler) {
+        this.channel = channel;
+        this.listener = listener;
+        this.options = options;
+        this.handler = handler;
+        this.queue = new InboundQueue(channel);
+        this.writer = new ChannelWriter(channel);
+    }
+
+    InboundQueue queue() {
+        return queue;
+    }
+
+    ChannelWriter writer() {
+        return writer;
+    }
+
+    Channel channel() {
+        return channel;
+    }
+
+    @Override
+    public void run() {
+        try {
+            while (serveOne()) {
+                idle = true;
+                if (listener.isStopping()) {
+                    break;
+                }
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } catch (RuntimeException e) {
+            LOG.error("[http] A request on the {} listener failed on a defect.", options.name(), e);
+        } finally {
+            channel.close();
+            listener.closed(this);
+        }
+    }
+
+    private boolean serveOne() throws InterruptedException {
+        Optional<HttpPart> part = queue.take(options.idleTimeoutMs());
+        if (part.isEmpty()) {
+            return false;
+        }
+        return switch (part.get()) {
+            case HttpPart.RequestHead head -> serve(head);
+            case HttpPart.Malformed malformed -> refuseMalformed(malformed.reason());
+            case HttpPart.Closed closedPart -> false;
+            default -> refuseMalformed("a body without a request");
+        };
+    }
+
+    private boolean serve(HttpPart.RequestHead head) throws InterruptedException {
+        idle = false;
+        HttpExchange exchange = new HttpExchange(this, head, options.idleTimeoutMs());
+        clearCloseActions();
+        handler.handle(exchange);
+        clearCloseActions();
+        if (!exchange.isFinished()) {
+            throw new IllegalStateException("The handler left " + head.method() + " " + head.uri() + " unanswered");
+        }
+        if (!exchange.isReusable()) {
+            finishClosing();
+            return false;
+        }
+        return true;
+    }
+
+    private boolean refuseMalformed(String reason) throws InterruptedException {
+        LOG.info("[http] Refused a malformed request on the {} listener: {}.", options.name(), reason);
+        HttpExchange exchange = new HttpExchange(this, HttpExchange.MALFORMED_HEAD, options.idleTimeoutMs());
+        exchange.respond(Problem.of(Failure.of(ErrorKind.BAD_REQUEST, reason)));
+        finishClosing();
+        return false;
+    }
+
+    private void finishClosing() throws InterruptedException {
+        if (channel instanceof DuplexChannel duplex && channel.isActive()) {
+            duplex.shutdownOutput().addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
+            discardInput();
+        }
+        channel.close();
+    }
+
+    private void discardInput() throws InterruptedException {
+        long endNs = System.nanoTime() + LINGER_MS * 1_000_000;
+        long discardedBytes = 0;
+        while (System.nanoTime() < endNs && discardedBytes < LINGER_BYTES) {
+            Optional<HttpPart> part = queue.take(LINGER_MS);
+            if (part.isEmpty() || part.get() instanceof HttpPart.Closed || part.get() instanceof HttpPart.Malformed) {
+                return;
+            }
+            if (part.get() instanceof HttpPart.End) {
+                return;
+            }
+            discardedBytes += part.get().sizeBytes();
+        }
+    }
+
+    void closeWhenIdle() {
+        if (idle) {
+            channel.close();
+        }
+    }
+
+    void close() {
+        channel.close();
+    }
+
+    /** Runs an action once when the peer closes the connection; at once if it did already. */
+    void onClose(Runnable action) {
+        boolean runNow;
+        synchronized (closeActions) {
+            runNow = closed;
+            if (!closed) {
+                closeActions.add(action);
+            }
+        }
+        if (runNow) {
+            action.run();
+        }
+    }
+
+    private void clearCloseActions() {
+        synchronized (closeActions) {
+            closeActions.clear();
+        }
+    }
+
+    void onClosed() {
+        List<Runnable> actions;
+        synchronized (closeActions) {
+            closed = true;
+            actions = List.copyOf(closeActions);
+            closeActions.clear();
+        }
+        actions.forEach(Runnable::run);
+    }
+}
--- /dev/null
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/WholeResponse.java
@@ -0,0 +1,48 @@
+package org.sequoianotch.daemon.http;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.sequoianotch.protocol.HeaderField;
+
+/**
+ * A response whose body is held in memory.
+ *
+ * <p>This type is immutable, as long as nobody changes the array.
+ *
+ * @param status the HTTP status
+ * @param headers the headers without length and transfer encoding; not null
+ * @param body the body; not null
+ */
+public record WholeResponse(int status, List<HeaderField> headers, byte[] body) {
+    /** Copies the headers. */
+    public WholeResponse {
+        headers = List.copyOf(headers);
+    }
+
+    /**
+     * Creates a text response.
+     *
+     * @param status the HTTP status
+     * @param contentType the media type; not null
+     * @param text the body; not null
+     * @return the response, never null
+     */
+    public static WholeResponse ofText(int status, String contentType, String text) {
+        return new WholeResponse(
+                status, List.of(new HeaderField("Content-Type", contentType)), text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    /**
+     * Returns a copy with one more header.
+     *
+     * @param name the field name; not null
+     * @param value the field value; not null
+     * @return the copy, never null
+     */
+    public WholeResponse plusHeader(String name, String value) {
+        List<HeaderField> more = new ArrayList<>(headers);
+        more.add(new HeaderField(name, value));
+        return new WholeResponse(status, more, body);
+    }
+}
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/ledger/IdempotencyKey.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/ledger/IdempotencyKey.java
@@ -82,6 +82,28 @@
         return new IdempotencyKey(text, home, minting);
     }
 
+    /**
+     * Derives the key of a sub-call that a backend server makes while it serves the request with this key. It keeps
+     * home, epoch and age, so that sub-calls of a request are decided about by the same ledger.
+     *
+     * @param subCall the fingerprint of the sub-call; not null
+     * @return the derived key, the same each time for the same sub-call; never null
+     */
+    public IdempotencyKey forSubCall(Fingerprint subCall) {
+        byte[] digest = Fingerprint.sha256()
+                .digest((text + "\n" + subCall.high() + "\n" + subCall.low()).getBytes(StandardCharsets.US_ASCII));
+        long suffix = ByteBuffer.wrap(digest).getLong();
+        if (minting == null) {
+            return new IdempotencyKey(String.format("sub.%s.%016x", shortened(text), suffix), home, null);
+        }
+        String derived = String.format("sn1.%s.%d.%d.%016x", home, minting.epoch(), minting.mintedAtMs(), suffix);
+        return new IdempotencyKey(derived, home, minting);
+    }
+
+    private static String shortened(String text) {
+        return text.substring(0, Math.min(text.length(), MAX_LENGTH / 2));
+    }
+
     /**
      * Returns the value of the header.
      *
--- /dev/null
+++ b/sequoianotch-proof/src/main/java/org/sequoianotch/proof/quickstart/QuickstartClient.java
@@ -0,0 +1,100 @@
+package org.sequoianotch.proof.quickstart;
+
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+
+/** Sends a lookup, a booking, its repeat and a photo upload to a node and prints each answer. */
+public final class QuickstartClient {
+    private static final Duration READY_TIMEOUT = Duration.ofSeconds(30);
+    private static final Duration CALL_TIMEOUT = Duration.ofSeconds(10);
+    private static final long READY_POLL_MS = 200;
+    private static final int PHOTO_BYTES = 1_048_576;
+    private static final int OK = 200;
+
+    private final HttpClient client = HttpClient.newBuilder()
+            .version(HttpClient.Version.HTTP_1_1)
+            .connectTimeout(CALL_TIMEOUT)
+            .build();
+    private final String node;
+    private boolean allCompleted = true;
+
+    private QuickstartClient(String node) {
+        this.node = node;
+    }
+
+    /**
+     * Sends the requests; exits with 0 if all of them completed.
+     *
+     * @param arguments address of a node's caller listener, such as {@code 127.0.0.1:8080}; not null
+     * @throws IOException if the node cannot be reached
+     * @throws InterruptedException if the thread is interrupted
+     */
+    public static void main(String[] arguments) throws IOException, InterruptedException {
+        QuickstartClient quickstart = new QuickstartClient(arguments[0]);
+        quickstart.awaitReady();
+        quickstart.run();
+        System.exit(quickstart.allCompleted ? 0 : 1);
+    }
+
+    private void run() throws IOException, InterruptedException {
+        send("Lookup, three calls deep", request("/specdesk/doors/7").GET());
+        String key = client.send(
+                        request("/v1/keys")
+                                .POST(HttpRequest.BodyPublishers.noBody())
+                                .build(),
+                        HttpResponse.BodyHandlers.ofString())
+                .body()
+                .trim();
+        send("Booking", booking(key));
+        send("The same booking again, with the same key", booking(key));
+        send(
+                "Photo upload of " + PHOTO_BYTES + " bytes",
+                request("/sitephotos/photos/1").PUT(HttpRequest.BodyPublishers.ofByteArray(new byte[PHOTO_BYTES])));
+    }
+
+    private HttpRequest.Builder booking(String key) {
+        return request("/jobbook/bookings")
+                .header("Idempotency-Key", key)
+                .POST(HttpRequest.BodyPublishers.ofString("{\"door\":7}"));
+    }
+
+    private HttpRequest.Builder request(String path) {
+        return HttpRequest.newBuilder(URI.create("http://" + node + path)).timeout(CALL_TIMEOUT);
+    }
+
+    private void send(String what, HttpRequest.Builder request) throws IOException, InterruptedException {
+        HttpResponse<String> response = client.send(request.build(), HttpResponse.BodyHandlers.ofString());
+        System.out.println(what + ":");
+        System.out.println("  status " + response.statusCode() + ", outcome "
+                + response.headers().firstValue("Sequoianotch-Outcome").orElse("missing") + ", request "
+                + response.headers().firstValue("Sequoianotch-Request-Id").orElse("missing"));
+        System.out.println("  " + response.body().trim());
+        allCompleted &= response.statusCode() == OK;
+    }
+
+    /** Waits until a lookup succeeds, because nodes and backend servers need a moment to find each other. */
+    private void awaitReady() throws InterruptedException {
+        long endNs = System.nanoTime() + READY_TIMEOUT.toNanos();
+        while (System.nanoTime() < endNs) {
+            try {
+                int status = client.send(
+                                request("/specdesk/doors/7").GET().build(), HttpResponse.BodyHandlers.discarding())
+                        .statusCode();
+                int photoStatus = client.send(
+                                request("/sitephotos/photos").GET().build(), HttpResponse.BodyHandlers.discarding())
+                        .statusCode();
+                if (status == OK && photoStatus == OK) {
+                    return;
+                }
+            } catch (IOException e) {
+                // The node does not listen yet.
+            }
+            Thread.sleep(READY_POLL_MS);
+        }
+        throw new IllegalStateException("The nodes were not ready within " + READY_TIMEOUT.toSeconds() + " s");
+    }
+}
--- /dev/null
+++ b/sequoianotch-proof/src/main/java/org/sequoianotch/proof/standin/Execution.java
@@ -0,0 +1,46 @@
+package org.sequoianotch.proof.standin;
+
+import java.util.Objects;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * One request that reached a stand-in, as the record of what really ran.
+ *
+ * <p>This type is immutable.
+ *
+ * @param requestId the trace id of the request; empty if it came without one
+ * @param key the idempotency key, or null if it came without one
+ * @param method the HTTP method; not null
+ * @param path path and query; not null
+ * @param bodyBytes bytes of the request body that arrived; not negative
+ * @param workedMs time that it worked, in milliseconds; not negative
+ * @param result how it ended; not null
+ */
+public record Execution(
+        String requestId,
+        @Nullable String key,
+        String method,
+        String path,
+        long bodyBytes,
+        double workedMs,
+        Result result) {
+    /** How an execution ended. */
+    public enum Result {
+        /** Still running. */
+        RUNNING,
+        /** Answered in full. */
+        COMPLETED,
+        /** The node closed the connection before the answer. */
+        CANCELLED,
+        /** Answered with an error. */
+        FAILED
+    }
+
+    /** Checks the components. */
+    public Execution {
+        Objects.requireNonNull(requestId, "requestId");
+        Objects.requireNonNull(method, "method");
+        Objects.requireNonNull(path, "path");
+        Objects.requireNonNull(result, "result");
+    }
+}
--- /dev/null
+++ b/sequoianotch-proof/src/main/java/org/sequoianotch/proof/standin/ExecutionLog.java
@@ -0,0 +1,39 @@
+package org.sequoianotch.proof.standin;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** Record of the requests that reached a stand-in. This class is thread-safe. */
+public final class ExecutionLog {
+    private final List<Execution> executions = new ArrayList<>();
+
+    /** Creates an empty record. */
+    public ExecutionLog() {}
+
+    synchronized int begin(Execution execution) {
+        executions.add(execution);
+        return executions.size() - 1;
+    }
+
+    synchronized void end(int index, Execution.Result result, double workedMs, long bodyBytes) {
+        Execution begun = executions.get(index);
+        executions.set(
+                index,
+                new Execution(
+                        begun.requestId(), begun.key(), begun.method(), begun.path(), bodyBytes, workedMs, result));
+    }
+
+    /**
+     * Returns all executions so far, in the order in which they began.
+     *
+     * @return a copy, never null
+     */
+    public synchronized List<Execution> executions() {
+        return List.copyOf(executions);
+    }
+
+    /** Forgets all executions. No request may be running. */
+    public synchronized void clear() {
+        executions.clear();
+    }
+}
--- /dev/null
+++ b/sequoianotch-proof/src/main/java/org/sequoianotch/proof/standin/StandIn.java
@@ -0,0 +1,277 @@
+package org.sequoianotch.proof.standin;
+
+import io.netty.channel.EventLoopGroup;
+import io.vavr.control.Either;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.random.RandomGenerator;
+import org.sequoianotch.daemon.http.BackendClient;
+import org.sequoianotch.daemon.http.BackendConnection;
+import org.sequoianotch.daemon.http.HttpExchange;
+import org.sequoianotch.daemon.http.HttpListener;
+import org.sequoianotch.daemon.http.ListenerOptions;
+import org.sequoianotch.daemon.http.WholeResponse;
+import org.sequoianotch.error.Failure;
+import org.sequoianotch.model.BackendState;
+import org.sequoianotch.protocol.AnswerHeader;
+import org.sequoianotch.protocol.HeaderField;
+import org.sequoianotch.time.Clock;
+import org.sequoianotch.time.SystemClock;
+
+/**
+ * A stand-in backend server: it announces itself to the node on its host, works for a while on each request, calls
+ * other services through its node and keeps a record of what ran.
+ *
+ * <p>Requests beyond its slots wait, as they would in a server with a pool of threads. This class is thread-safe.
+ */
+public final class StandIn implements AutoCloseable {
+    private static final int MAX_HEADER_BYTES = 65_536;
+    private static final int MAX_CONNECTIONS = 10_000;
+    private static final long IDLE_TIMEOUT_MS = 600_000;
+    private static final long SUB_CALL_TIMEOUT_MS = 60_000;
+    private static final int CONNECT_TIMEOUT_MS = 1_000;
+    private static final int OK = 200;
+    private static final int SERVER_ERROR = 500;
+    private static final int BAD_GATEWAY = 502;
+
+    private final StandInOptions options;
+    private final Clock clock = SystemClock.INSTANCE;
+    private final RandomGenerator random;
+    private final BackendClient node;
+    private final HttpListener listener;
+    private final Semaphore slots;
+    private final ExecutionLog log = new ExecutionLog();
+    private final Announcer announcer;
+    private volatile Behaviour behaviour = Behaviour.NORMAL;
+
+    /**
+     * Starts a stand-in.
+     *
+     * @param options the options; not null
+     * @param eventLoops event loops that carry its connections; not null
+     * @param random source of randomness for errors, safe for several threads; not null
+     * @throws InterruptedException if the thread is interrupted while binding
+     */
+    public StandIn(StandInOptions options, EventLoopGroup eventLoops, RandomGenerator random)
+            throws InterruptedException {
+        this.options = options;
+        this.random = random;
+        this.slots = new Semaphore(options.slots(), true);
+        this.node = new BackendClient(options.nodeAddress(), eventLoops, CONNECT_TIMEOUT_MS, clock);
+        ListenerOptions listenerOptions = new ListenerOptions(
+                options.service().name(), options.listen(), MAX_HEADER_BYTES, MAX_CONNECTIONS, IDLE_TIMEOUT_MS);
+        this.listener = HttpListener.bind(listenerOptions, eventLoops, this::handle);
+        this.announcer =
+                new Announcer(node, options.service(), listener.address().getPort(), options.slots());
+        announcer.start();
+    }
+
+    /**
+     * Returns the record of what ran.
+     *
+     * @return the record, never null
+     */
+    public ExecutionLog log() {
+        return log;
+    }
+
+    /**
+     * Returns the options.
+     *
+     * @return the options, never null
+     */
+    public StandInOptions options() {
+        return options;
+    }
+
+    /**
+     * Changes how it misbehaves.
+     *
+     * @param newBehaviour the behaviour; not null
+     */
+    public void setBehaviour(Behaviour newBehaviour) {
+        behaviour = newBehaviour;
+    }
+
+    /**
+     * Announces another state to its node at once.
+     *
+     * @param state the state; not null
+     * @throws InterruptedException if the thread is interrupted while announcing
+     */
+    public void announce(BackendState state) throws InterruptedException {
+        announcer.announce(state);
+    }
+
+    /** Stops listening without draining, as a crash would. */
+    @Override
+    public void close() {
+        announcer.stop();
+        node.close();
+        try {
+            listener.stop(0);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void handle(HttpExchange exchange) throws InterruptedException {
+        CompletableFuture<Void> cancelled = new CompletableFuture<>();
+        exchange.onClose(() -> cancelled.complete(null));
+        int index = log.begin(new Execution(
+                exchange.header("traceparent").map(StandIn::traceId).orElse(""),
+                exchange.header("idempotency-key").orElse(null),
+                exchange.method(),
+                exchange.uri(),
+                0,
+                0,
+                Execution.Result.RUNNING));
+        double startedAtMs = clock.monotonicMs();
+        long[] bodyBytes = new long[1];
+        Execution.Result result = Execution.Result.CANCELLED;
+        try {
+            result = serve(exchange, cancelled, bodyBytes);
+        } finally {
+            log.end(index, result, clock.monotonicMs() - startedAtMs, bodyBytes[0]);
+            if (result == Execution.Result.CANCELLED) {
+                exchange.abort();
+            }
+        }
+    }
+
+    private static String traceId(String traceParent) {
+        String[] parts = traceParent.split("-");
+        return parts.length > 1 ? parts[1] : "";
+    }
+
+    private Execution.Result serve(HttpExchange exchange, CompletableFuture<Void> cancelled, long[] bodyBytes)
+            throws InterruptedException {
+        Behaviour now = behaviour;
+        while (true) {
+            Either<Failure, Optional<byte[]>> part = exchange.readBody();
+            if (part.isLeft()) {
+                return Execution.Result.CANCELLED;
+            }
+            if (part.get().isEmpty()) {
+                break;
+            }
+            bodyBytes[0] += part.get().get().length;
+        }
+        if (now.errorFraction() > 0 && random.nextDouble() < now.errorFraction()) {
+            exchange.respond(WholeResponse.ofText(SERVER_ERROR, "text/plain", "error by request of the test\n"));
+            return Execution.Result.FAILED;
+        }
+        if (!work(now, cancelled)) {
+            return Execution.Result.CANCELLED;
+        }
+        Optional<String> failed = callOthers(exchange, cancelled);
+        if (cancelled.isDone()) {
+            return Execution.Result.CANCELLED;
+        }
+        if (failed.isPresent()) {
+            exchange.respond(WholeResponse.ofText(BAD_GATEWAY, "text/plain", failed.get() + "\n"));
+            return Execution.Result.FAILED;
+        }
+        return answer(exchange, now, bodyBytes[0]);
+    }
+
+    private boolean work(Behaviour now, CompletableFuture<Void> cancelled) throws InterruptedException {
+        slots.acquire();
+        try {
+            if (now.hang()) {
+                return !waitFor(cancelled, Long.MAX_VALUE / 2);
+            }
+            long workUs = (long) (options.workMs() * now.slowFactor() * 1_000);
+            return workUs == 0 ? !cancelled.isDone() : !waitFor(cancelled, workUs);
+        } finally {
+            slots.release();
+        }
+    }
+
+    private static boolean waitFor(CompletableFuture<Void> cancelled, long timeoutUs) throws InterruptedException {
+        try {
+            cancelled.get(timeoutUs, TimeUnit.MICROSECONDS);
+            return true;
+        } catch (TimeoutException e) {
+            return false;
+        } catch (ExecutionException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private Optional<String> callOthers(HttpExchange exchange, CompletableFuture<Void> cancelled)
+            throws InterruptedException {
+        for (SubCall subCall : options.subCalls()) {
+            if (!exchange.uri().startsWith(subCall.pathPrefix())) {
+                continue;
+            }
+            for (int i = 0; i < subCall.count() && !cancelled.isDone(); i++) {
+                Optional<String> failed = callOne(exchange, subCall, cancelled);
+                if (failed.isPresent()) {
+                    return failed;
+                }
+            }
+        }
+        return Optional.empty();
+    }
+
+    private Optional<String> callOne(HttpExchange exchange, SubCall subCall, CompletableFuture<Void> cancelled)
+            throws InterruptedException {
+        Either<Failure, BackendConnection> connected = node.connect();
+        if (connected.isLeft()) {
+            return Optional.of(
+                    "The node cannot be reached: " + connected.getLeft().detail());
+        }
+        BackendConnection connection = connected.get();
+        cancelled.thenRun(connection::close);
+        List<HeaderField> headers = new ArrayList<>();
+        exchange.header("traceparent").ifPresent(value -> headers.add(new HeaderField("traceparent", value)));
+        exchange.header("idempotency-key").ifPresent(value -> headers.add(new HeaderField("Idempotency-Key", value)));
+        if (!connection.start(subCall.method(), subCall.target(), headers, 0, SUB_CALL_TIMEOUT_MS)) {
+            return Optional.of("The node closed the connection.");
+        }
+        Either<Failure, AnswerHeader> head = connection.awaitAnswer(SUB_CALL_TIMEOUT_MS);
+        if (head.isLeft()) {
+            connection.close();
+            return Optional.of(subCall.target() + " failed: " + head.getLeft().detail());
+        }
+        while (true) {
+            Either<Failure, Optional<byte[]>> part = connection.readAnswerBody(SUB_CALL_TIMEOUT_MS);
+            if (part.isLeft()) {
+                connection.close();
+                return Optional.of(
+                        subCall.target() + " was cut: " + part.getLeft().detail());
+            }
+            if (part.get().isEmpty()) {
+                break;
+            }
+        }
+        connection.finish();
+        int status = head.get().status();
+        return status >= SERVER_ERROR
+                ? Optional.of(subCall.target() + " answered with status " + status + ".")
+                : Optional.empty();
+    }
+
+    private Execution.Result answer(HttpExchange exchange, Behaviour now, long bodyBytes) throws InterruptedException {
+        String text = options.service() + " " + exchange.method() + " " + exchange.uri() + " body " + bodyBytes
+                + " bytes, request "
+                + exchange.header("traceparent").map(StandIn::traceId).orElse("none") + "\n";
+        byte[] body = text.getBytes(StandardCharsets.UTF_8);
+        if (now.cutAnswers()) {
+            exchange.start(OK, List.of(new HeaderField("Content-Type", "text/plain")), body.length * 2L);
+            exchange.write(body);
+            exchange.abort();
+            return Execution.Result.COMPLETED;
+        }
+        exchange.respond(new WholeResponse(OK, List.of(new HeaderField("Content-Type", "text/plain")), body));
+        return Execution.Result.COMPLETED;
+    }
+}
--- /dev/null
+++ b/sequoianotch-proof/src/main/java/org/sequoianotch/proof/standin/StandInMain.java
@@ -0,0 +1,71 @@
+package org.sequoianotch.proof.standin;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.vavr.control.Either;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ThreadLocalRandom;
+import org.sequoianotch.model.ServiceName;
+import org.sequoianotch.settings.IniFile;
+import org.sequoianotch.settings.SettingsProblem;
+import org.sequoianotch.settings.ValueKind;
+
+/**
+ * Runs the stand-ins of an INI file in one process until it is stopped.
+ *
+ * <p>Each section {@code [standin NAME]} has the keys service, listen, node, slots, work_ms and calls.
+ */
+public final class StandInMain {
+    private static final int EVENT_LOOP_THREADS = 2;
+    private static final int WRONG_SETTINGS = 3;
+
+    private StandInMain() {}
+
+    /**
+     * Starts the stand-ins.
+     *
+     * @param arguments the path of the INI file; not null
+     * @throws InterruptedException if the main thread is interrupted
+     */
+    public static void main(String[] arguments) throws InterruptedException {
+        Either<List<SettingsProblem>, IniFile> file = IniFile.read(Path.of(arguments[0]));
+        if (file.isLeft()) {
+            file.getLeft().forEach(System.err::println);
+            System.exit(WRONG_SETTINGS);
+        }
+        EventLoopGroup eventLoops = new NioEventLoopGroup(EVENT_LOOP_THREADS);
+        List<StandIn> standIns = new ArrayList<>();
+        for (Map.Entry<String, Map<String, String>> section :
+                file.get().sections().entrySet()) {
+            StandInOptions options = options(section.getValue());
+            standIns.add(new StandIn(
+                    options, eventLoops, () -> ThreadLocalRandom.current().nextLong()));
+        }
+        System.out.println("Started " + standIns.size() + " stand-in backend servers.");
+        new CountDownLatch(1).await();
+    }
+
+    private static StandInOptions options(Map<String, String> values) {
+        List<SubCall> calls = ValueKind.items(values.getOrDefault("calls", "")).stream()
+                .map(SubCall::parse)
+                .toList();
+        return new StandInOptions(
+                ServiceName.of(values.getOrDefault("service", "")),
+                address(values, "listen"),
+                address(values, "node"),
+                Integer.parseInt(values.getOrDefault("slots", "50")),
+                Double.parseDouble(values.getOrDefault("work_ms", "2")),
+                calls);
+    }
+
+    private static InetSocketAddress address(Map<String, String> values, String key) {
+        String text = values.getOrDefault(key, "");
+        return ValueKind.parseAddress(text)
+                .orElseThrow(() -> new IllegalArgumentException(key + " = \"" + text + "\" is not an address"));
+    }
+}
--- /dev/null
+++ b/sequoianotch-proof/src/main/java/org/sequoianotch/proof/standin/SubCall.java
@@ -0,0 +1,41 @@
+package org.sequoianotch.proof.standin;
+
+import java.util.Objects;
+
+/**
+ * A call that a stand-in makes to another service for each request on a path.
+ *
+ * <p>This type is immutable.
+ *
+ * @param pathPrefix requests whose path starts with it make the call; not null
+ * @param method the HTTP method of the call; not null
+ * @param target service and path of the call, such as {@code /bellcat/bells}; not null
+ * @param count how many such calls are made one after the other; positive
+ */
+public record SubCall(String pathPrefix, String method, String target, int count) {
+    /** Checks the components. */
+    public SubCall {
+        Objects.requireNonNull(pathPrefix, "pathPrefix");
+        Objects.requireNonNull(method, "method");
+        Objects.requireNonNull(target, "target");
+        if (count < 1) {
+            throw new IllegalArgumentException("count is " + count + ", but must be positive");
+        }
+    }
+
+    /**
+     * Parses a call such as {@code /bookings POST /bellcat/reservations} or {@code / GET /bellcat/bells 2}.
+     *
+     * @param text path prefix, method, target and optional count, separated by blanks; not null
+     * @return the call, never null
+     * @throws IllegalArgumentException if the text is not of that form
+     */
+    public static SubCall parse(String text) {
+        String[] words = text.trim().split("\\s+");
+        if (words.length < 3 || words.length > 4) {
+            throw new IllegalArgumentException(
+                    "\"" + text + "\" is not of the form PREFIX METHOD /SERVICE/PATH [COUNT]");
+        }
+        return new SubCall(words[0], words[1], words[2], words.length == 4 ? Integer.parseInt(words[3]) : 1);
+    }
+}
