--- /dev/null
+++ b/sequoianotch-proof/src/main/java/org/sequoianotch/proof/load/CallOutcome.java
@@ -0,0 +1,33 @@
+package org.sequoianotch.proof.load;
+
+import java.util.Objects;
+
+/**
+ * How one call of a load generator ended.
+ *
+ * <p>This type is immutable.
+ *
+ * @param status the HTTP status; zero if no answer came
+ * @param outcome value of the {@code Sequoianotch-Outcome} header; not null, may be empty
+ * @param requestId value of the {@code Sequoianotch-Request-Id} header; not null, may be empty
+ * @param latencyMs time from the scheduled start to the end of the answer, in milliseconds
+ */
+public record CallOutcome(int status, String outcome, String requestId, double latencyMs) {
+    private static final int OK = 200;
+    private static final int MULTIPLE_CHOICES = 300;
+
+    /** Checks the components. */
+    public CallOutcome {
+        Objects.requireNonNull(outcome, "outcome");
+        Objects.requireNonNull(requestId, "requestId");
+    }
+
+    /**
+     * Tells whether the call got the answer that its caller wanted.
+     *
+     * @return true for a complete answer with a status from 200 to 299
+     */
+    public boolean isGood() {
+        return status >= OK && status < MULTIPLE_CHOICES;
+    }
+}
--- /dev/null
+++ b/sequoianotch-proof/src/main/java/org/sequoianotch/proof/load/Caller.java
@@ -0,0 +1,94 @@
+package org.sequoianotch.proof.load;
+
+import io.netty.channel.EventLoopGroup;
+import io.vavr.control.Either;
+import java.net.InetSocketAddress;
+import java.util.Optional;
+import org.sequoianotch.daemon.http.BackendClient;
+import org.sequoianotch.daemon.http.BackendConnection;
+import org.sequoianotch.daemon.http.HeaderFields;
+import org.sequoianotch.error.Failure;
+import org.sequoianotch.protocol.AnswerHeader;
+import org.sequoianotch.time.Clock;
+import org.sequoianotch.time.SystemClock;
+
+/**
+ * Sends single HTTP calls to one address and waits for the whole answer.
+ *
+ * <p>This class is thread-safe; connections are kept open between calls.
+ */
+public final class Caller implements AutoCloseable {
+    private static final int CONNECT_TIMEOUT_MS = 2_000;
+
+    private final Clock clock = SystemClock.INSTANCE;
+    private final BackendClient client;
+
+    /**
+     * Creates a caller without connections.
+     *
+     * @param address address to call; not null
+     * @param eventLoops event loops that carry the connections; not null
+     */
+    public Caller(InetSocketAddress address, EventLoopGroup eventLoops) {
+        client = new BackendClient(address, eventLoops, CONNECT_TIMEOUT_MS, clock);
+    }
+
+    /**
+     * Sends one call.
+     *
+     * @param call the call; not null
+     * @param key the idempotency key, used if the call is keyed; not null
+     * @param scheduledAtMs time on the monotonic clock from which the latency counts, in milliseconds
+     * @param timeoutMs the caller gives up after this time, in milliseconds; positive
+     * @return how the call ended, never null
+     * @throws InterruptedException if the thread is interrupted while waiting
+     */
+    public CallOutcome send(CallTemplate call, String key, double scheduledAtMs, long timeoutMs)
+            throws InterruptedException {
+        double endAtMs = clock.monotonicMs() + timeoutMs;
+        Either<Failure, BackendConnection> connected = client.connect();
+        if (connected.isLeft()) {
+            return nothing(scheduledAtMs);
+        }
+        BackendConnection connection = connected.get();
+        boolean sent = connection.start(call.method(), call.path(), call.headers(key), call.body().length, timeoutMs);
+        if (sent && call.body().length > 0) {
+            sent = connection.write(call.body(), timeoutMs) && connection.end(timeoutMs);
+        }
+        Either<Failure, AnswerHeader> head = connection.awaitAnswer(leftMs(endAtMs));
+        if (head.isLeft()) {
+            connection.close();
+            return nothing(scheduledAtMs);
+        }
+        while (true) {
+            Either<Failure, Optional<byte[]>> part = connection.readAnswerBody(leftMs(endAtMs));
+            if (part.isLeft()) {
+                connection.close();
+                return nothing(scheduledAtMs);
+            }
+            if (part.get().isEmpty()) {
+                break;
+            }
+        }
+        connection.finish();
+        return new CallOutcome(
+                head.get().status(),
+                HeaderFields.first(head.get().headers(), "sequoianotch-outcome").orElse(""),
+                HeaderFields.first(head.get().headers(), "sequoianotch-request-id")
+                        .orElse(""),
+                clock.monotonicMs() - scheduledAtMs);
+    }
+
+    private long leftMs(double endAtMs) {
+        return (long) Math.max(1, endAtMs - clock.monotonicMs());
+    }
+
+    private CallOutcome nothing(double scheduledAtMs) {
+        return new CallOutcome(0, "", "", clock.monotonicMs() - scheduledAtMs);
+    }
+
+    @Override
+    public void close() {
+        client.close();
+    }
+}
