Measure the level by refusals of each criticality, and refuse at entry what is shed below

The level now falls only by refusals that show its effect, and critical calls are cut only after all others. A version that tried each fall and judged it by the share of shed calls was ruled out: one of six instances that lowers its level sees no change, because the service below is shared. The latency baseline is a minimum over 100 calls; over 8 calls it followed the noise and the limit fell for no reason.

--- a/sequoianotch-policy/src/main/java/org/sequoianotch/policy/admission/ConcurrencyLimit.java
+++ b/sequoianotch-policy/src/main/java/org/sequoianotch/policy/admission/ConcurrencyLimit.java
@@ -3,11 +3,12 @@
 /**
  * Concurrency limit of one instance, measured from the calls that end.
  *
- * <p>Calls are evaluated in windows. If the latency in a window is above its baseline, or the backend server shows
- * signs of overload, while the limit is in use, the limit is lowered as a trial. If the trial lowers the rate of
- * answers about as much as it lowered the limit, the latency does not come from the number of calls at this instance
- * (for example because a service further down is slow). The limit is then restored, and the next trial is put off.
- * Otherwise the lower limit is kept. The limit rises again in each window that is in use and not slow.
+ * <p>Calls are evaluated in windows. If the latency is above its baseline while the limit is in use, the rate of
+ * answers is measured, and the limit is lowered as a trial. If the trial lowers the rate about as much as it lowered
+ * the limit, the latency does not come from the number of calls at this instance (for example because a service
+ * further down is slow). The limit is then restored, and the next trial is put off. Otherwise the lower limit is kept,
+ * and may be lowered further. Signs of overload start a trial at once. The limit rises again in each window that is in
+ * use and not slow.
  *
  * <p>This class is not thread-safe.
  */
@@ -18,14 +19,21 @@
 
     private static final int FEWEST_SAMPLES = 8;
     private static final int MOST_SAMPLES = 50;
-    private static final double SLOW_FACTOR = 2.0;
+    /** Averages of fewer samples are too noisy to compare two rates that differ by the fall factor. */
+    private static final int TRIAL_SAMPLES = 30;
+    /** The baseline is a minimum, so it must not follow the noise of short windows. */
+    private static final int BASELINE_SAMPLES = 100;
+
+    private static final double SLOW_FACTOR = 1.5;
+    /** Standard errors of an exponential distribution by which a slow window must stand out. */
+    private static final double SLOW_DEVIATIONS = 2.0;
     /** Differences below this are noise of timers and scheduling. */
     private static final double SLOW_MARGIN_MS = 2.0;
 
-    private static final double OVERLOAD_SHARE = 0.05;
+    private static final double OVERLOAD_SHARE = 0.1;
     private static final double LATENCY_USE = 0.8;
     private static final double OVERLOAD_USE = 0.5;
-    private static final double FALL_FACTOR = 0.75;
+    private static final double FALL_FACTOR = 0.7;
     private static final double RISE_FACTOR = 1.25;
     /** The limit falls to this share of the cap at most, so that it can return to the cap within 2 s. */
     private static final int FLOOR_DIVISOR = 8;
@@ -35,10 +43,24 @@
     /** Lets the baseline follow a lasting change: it doubles in about 140 s. */
     private static final double BASELINE_DRIFT_PER_MS = 0.005 / 1_000;
 
+    private enum Phase {
+        /** The limit is kept or rises. */
+        STEADY,
+        /** The rate of answers at the present limit is measured, as the reference of a trial. */
+        MEASURING,
+        /** A lower limit is tried. */
+        TRIAL
+    }
+
     private final int cap;
     private final double floor;
     private double limit;
+    private Phase phase = Phase.STEADY;
+
     private double baselineMs = Double.NaN;
+    private double baselineFromMs;
+    private int baselineSamples;
+    private double baselineSumMs;
 
     private double windowStartMs;
     private double countFromMs = Double.NEGATIVE_INFINITY;
@@ -48,9 +70,8 @@
     private long inFlightSum;
     private int peakInFlight;
 
-    private boolean inTrial;
-    private double limitBeforeTrial;
-    private double rateBeforeTrial;
+    private double referenceLimit;
+    private double referenceRate;
     private double holdMs;
     private double holdUntilMs = Double.NEGATIVE_INFINITY;
 
@@ -65,6 +86,7 @@
         this.floor = Math.max(1, cap / FLOOR_DIVISOR);
         this.limit = Math.max(floor, Math.ceil(cap / 2.0));
         this.windowStartMs = nowMs;
+        this.baselineFromMs = nowMs;
     }
 
     int current() {
@@ -81,13 +103,14 @@
         } else {
             answered++;
             latencySumMs += latencyMs;
+            addToBaseline(latencyMs, nowMs);
         }
         inFlightSum += inFlight;
         peakInFlight = Math.max(peakInFlight, inFlight);
         double elapsedMs = nowMs - windowStartMs;
-        boolean enough = samples() >= Math.clamp((long) limit, FEWEST_SAMPLES, MOST_SAMPLES);
-        if (elapsedMs >= WINDOW_MS && enough || elapsedMs >= LONGEST_WINDOW_MS) {
-            closeWindow(nowMs, elapsedMs);
+        boolean enough = elapsedMs >= WINDOW_MS && samples() >= samplesNeeded();
+        if (enough || phase == Phase.STEADY && elapsedMs >= LONGEST_WINDOW_MS) {
+            closeWindow(nowMs);
         }
     }
 
@@ -95,52 +118,77 @@
         return answered + overloads;
     }
 
-    private void closeWindow(double nowMs, double elapsedMs) {
-        moveBaseline(elapsedMs);
-        boolean slow = answered > 0 && averageMs() > SLOW_FACTOR * baselineMs + SLOW_MARGIN_MS;
-        boolean overloaded = overloads > 1 && overloads > OVERLOAD_SHARE * samples();
+    private int samplesNeeded() {
+        return phase == Phase.STEADY ? Math.clamp((long) limit, FEWEST_SAMPLES, MOST_SAMPLES) : TRIAL_SAMPLES;
+    }
+
+    private void addToBaseline(double latencyMs, double nowMs) {
+        baselineSamples++;
+        baselineSumMs += latencyMs;
+        if (baselineSamples >= BASELINE_SAMPLES) {
+            double averageMs = baselineSumMs / baselineSamples;
+            double driftedMs = baselineMs * (1 + BASELINE_DRIFT_PER_MS * (nowMs - baselineFromMs));
+            baselineMs = Double.isNaN(baselineMs) ? averageMs : Math.min(driftedMs, averageMs);
+            baselineSamples = 0;
+            baselineSumMs = 0;
+            baselineFromMs = nowMs;
+        }
+    }
+
+    private void closeWindow(double nowMs) {
         double use = peakInFlight / Math.floor(limit);
-        if (inTrial) {
+        boolean overloaded = overloads > 1 && overloads > OVERLOAD_SHARE * samples();
+        boolean slow = isSlow();
+        if (!slow && !overloaded) {
+            rise(use);
+        } else if (phase == Phase.TRIAL) {
             endTrial(nowMs);
-        } else if (!slow && !overloaded) {
-            holdMs = 0;
-            holdUntilMs = Double.NEGATIVE_INFINITY;
-            if (use >= LATENCY_USE) {
-                limit = Math.min(cap, limit * RISE_FACTOR + 1);
-            }
         } else if (nowMs < holdUntilMs) {
-            if (use >= LATENCY_USE) {
-                limit = Math.min(cap, limit + 1);
-            }
+            limit = use >= LATENCY_USE ? Math.min(cap, limit + 1) : limit;
         } else if (limit > floor && (slow && use >= LATENCY_USE || overloaded && use >= OVERLOAD_USE)) {
-            startTrial(nowMs);
+            if (phase == Phase.MEASURING || overloaded) {
+                referenceLimit = limit;
+                referenceRate = answerRate();
+                lower(nowMs);
+            } else {
+                phase = Phase.MEASURING;
+            }
+        } else {
+            phase = Phase.STEADY;
         }
         startWindow(nowMs);
     }
 
-    private void moveBaseline(double elapsedMs) {
-        if (answered > 0) {
-            double drifted = baselineMs * (1 + BASELINE_DRIFT_PER_MS * elapsedMs);
-            baselineMs = Double.isNaN(baselineMs) ? averageMs() : Math.min(drifted, averageMs());
+    private boolean isSlow() {
+        double allowed = SLOW_FACTOR * (1 + SLOW_DEVIATIONS / Math.sqrt(answered));
+        return answered > 0 && averageMs() > allowed * baselineMs + SLOW_MARGIN_MS;
+    }
+
+    private void rise(double use) {
+        phase = Phase.STEADY;
+        holdMs = 0;
+        holdUntilMs = Double.NEGATIVE_INFINITY;
+        if (use >= LATENCY_USE) {
+            limit = Math.min(cap, limit * RISE_FACTOR + 1);
         }
     }
 
-    private void startTrial(double nowMs) {
-        inTrial = true;
-        limitBeforeTrial = limit;
-        rateBeforeTrial = answerRate();
+    private void lower(double nowMs) {
+        phase = Phase.TRIAL;
         limit = Math.max(floor, limit * FALL_FACTOR);
         // Calls that started under the higher limit say nothing about the lower one.
         countFromMs = nowMs;
     }
 
     private void endTrial(double nowMs) {
-        inTrial = false;
-        double ratio = limit / limitBeforeTrial;
-        if (answerRate() < rateBeforeTrial * (1 + ratio) / 2) {
-            limit = limitBeforeTrial;
+        double ratio = limit / referenceLimit;
+        phase = Phase.STEADY;
+        if (answerRate() < referenceRate * (1 + ratio) / 2) {
+            limit = referenceLimit;
             holdMs = Math.clamp(2 * holdMs, FIRST_HOLD_MS, LONGEST_HOLD_MS);
             holdUntilMs = nowMs + holdMs;
+        } else if (limit > floor) {
+            lower(nowMs);
         }
     }
 
--- a/sequoianotch-policy/src/main/java/org/sequoianotch/policy/admission/OverloadLevel.java
+++ b/sequoianotch-policy/src/main/java/org/sequoianotch/policy/admission/OverloadLevel.java
@@ -7,46 +7,48 @@
 /**
  * Admission level of one instance, and the slots that it keeps for more important calls.
  *
- * <p>Both are evaluated each 100 ms. If more than 5% of the calls that arrived were refused for load, or if the calls
- * waited longer than half of the queue time limit, the level falls by half of what would remove the surplus, beginning
- * at the least important calls. A surplus of 10% of the calls started is left, so that the slots stay in use. Half is
- * taken because some of the calls of the next 100 ms were sent before their entry nodes learnt of the new level.
- * Otherwise the level rises in steps that grow, so that it returns from 1 to 3 within about 1 s.
+ * <p>The level is evaluated each 100 ms. It falls if the refused calls of a criticality exceed 25% of the calls that
+ * started. It then admits nothing that is less important, and fewer calls of this criticality. Refusals of calls that
+ * arrived before the last fall do not count, because they do not show its effect, and half of the excess is removed at
+ * a time, because other nodes learn of the new level only with their next answer. The surplus that is left keeps the
+ * slots in use; refusing it takes no work of the backend server. The level rises while few calls are refused, in steps
+ * that grow, so that it returns from 1 to 3 within about 1 s.
  *
- * <p>If a critical call is refused or waits long, a number of slots is kept from standard calls and twice that number
- * from sheddable calls. It is given back step by step when critical calls no longer wait.
+ * <p>A number of slots is kept from standard calls, and twice that number from sheddable calls. It rises with each
+ * critical call that is refused or waits for most of the queue time limit, and falls a little with each other critical
+ * call, so that it settles where 1.6% of the critical calls come close to being refused.
  *
  * <p>This class is not thread-safe.
  */
 final class OverloadLevel {
     private static final double INTERVAL_MS = 100;
     private static final int CLASSES = Criticality.values().length;
-    private static final double TOLERATED_SURPLUS = 0.05;
-    private static final double KEPT_SURPLUS = 0.1;
+    private static final double KEPT_SURPLUS = 0.25;
+    private static final double SURPLUS_FOR_RISE = 0.15;
     private static final double DAMPING = 0.5;
-    private static final double LONG_WAIT_SHARE = 0.5;
-    private static final double CRITICAL_WAIT_SHARE = 0.25;
+    private static final double LONG_WAIT_SHARE = 0.9;
+    private static final double SLOTS_PER_LONG_WAIT = 0.25;
+    private static final double SLOTS_PER_SHORT_WAIT = 0.004;
+    /** Slots given back in each interval, so that none are kept once critical calls stop coming. */
+    private static final double SLOTS_PER_INTERVAL = 0.03;
+
     private static final double FIRST_RISE = 0.05;
     private static final double RISE_GROWTH = 1.5;
     private static final double LARGEST_RISE = 0.4;
     /** Some calls are always asked for, because without any the node could not tell that the overload has ended. */
     private static final double LOWEST_LEVEL = 0.1;
-    /** Intervals without a long wait of a critical call before kept slots are given back. */
-    private static final int CALM_INTERVALS = 5;
 
     private final double queueTimeMs;
     private final int[] arrived = new int[CLASSES];
-    private int refused;
+    private final int[] refused = new int[CLASSES];
+    private int refusedInAll;
     private int started;
-    private int waits;
-    private double waitSumMs;
-    private boolean criticalInDistress;
 
     private double intervalStartMs;
+    private double fellAtMs = Double.NEGATIVE_INFINITY;
     private double level = LoadReport.ADMIT_ALL;
     private double rise = FIRST_RISE;
     private double keptSlots;
-    private int calmIntervals;
 
     OverloadLevel(long queueTimeMs, double nowMs) {
         this.queueTimeMs = queueTimeMs;
@@ -67,49 +69,57 @@
         arrived[criticality.ordinal()]++;
     }
 
-    void onStart(Criticality criticality, double waitedMs) {
+    void onStart(Criticality criticality, double waitedMs, int limit) {
         started++;
-        onWait(criticality, waitedMs);
+        onWait(criticality, waitedMs > LONG_WAIT_SHARE * queueTimeMs, limit);
     }
 
     /** Counts a call that was refused for load, not because of its own deadline. */
-    void onRefusal(Criticality criticality, double waitedMs) {
-        refused++;
-        onWait(criticality, waitedMs);
-        criticalInDistress |= criticality == Criticality.CRITICAL;
+    void onRefusal(Criticality criticality, double arrivedAtMs, int limit) {
+        refusedInAll++;
+        if (arrivedAtMs >= fellAtMs) {
+            refused[criticality.ordinal()]++;
+        }
+        onWait(criticality, true, limit);
     }
 
-    private void onWait(Criticality criticality, double waitedMs) {
-        waits++;
-        waitSumMs += waitedMs;
-        criticalInDistress |= criticality == Criticality.CRITICAL && waitedMs > CRITICAL_WAIT_SHARE * queueTimeMs;
+    private void onWait(Criticality criticality, boolean isLong, int limit) {
+        if (criticality == Criticality.CRITICAL) {
+            keptSlots = Math.clamp(keptSlots + (isLong ? SLOTS_PER_LONG_WAIT : -SLOTS_PER_SHORT_WAIT), 0, limit);
+        }
     }
 
     /** Closes the interval if it is over. */
-    void advance(double nowMs, int limit) {
+    void advance(double nowMs) {
         double elapsedMs = nowMs - intervalStartMs;
         if (elapsedMs < INTERVAL_MS) {
             return;
         }
         int intervals = (int) Math.min(elapsedMs / INTERVAL_MS, LoadReport.ADMIT_ALL / FIRST_RISE);
-        moveLevel(intervals);
-        moveKeptSlots(intervals, limit);
+        moveLevel(intervals, nowMs);
+        keptSlots = Math.max(0, keptSlots - intervals * SLOTS_PER_INTERVAL);
         intervalStartMs = nowMs;
         Arrays.fill(arrived, 0);
-        refused = 0;
+        Arrays.fill(refused, 0);
+        refusedInAll = 0;
         started = 0;
-        waits = 0;
-        waitSumMs = 0;
-        criticalInDistress = false;
     }
 
-    private void moveLevel(int intervals) {
-        int total = arrived[0] + arrived[1] + arrived[2];
-        boolean longWaits = waits > 0 && waitSumMs / waits > LONG_WAIT_SHARE * queueTimeMs;
-        if (refused > 1 && refused > TOLERATED_SURPLUS * total || longWaits) {
-            double surplus = Math.max(refused - KEPT_SURPLUS * started, longWaits ? KEPT_SURPLUS * total : 0);
-            cut(DAMPING * Math.max(0, surplus));
-            rise = FIRST_RISE;
+    private void moveLevel(int intervals, double nowMs) {
+        for (int i = 0; i < CLASSES; i++) {
+            double excess = refused[i] - KEPT_SURPLUS * started;
+            if (refused[i] > 1 && excess > 0) {
+                double admitted = Math.clamp(level - i, 0.0, 1.0);
+                double cut = Math.min(1, DAMPING * excess / Math.max(1, arrived[i]));
+                // A single interval of refused critical calls may be a burst, so the other calls go first.
+                boolean onlyOthers = i == 0 && level > 1;
+                level = onlyOthers ? 1 : Math.max(LOWEST_LEVEL, i + admitted * (1 - cut));
+                rise = FIRST_RISE;
+                fellAtMs = nowMs;
+                return;
+            }
+        }
+        if (refusedInAll > SURPLUS_FOR_RISE * started) {
             return;
         }
         for (int i = 0; i < intervals && level < LoadReport.ADMIT_ALL; i++) {
@@ -117,29 +127,4 @@
             rise = Math.min(LARGEST_RISE, rise * RISE_GROWTH);
         }
     }
-
-    /** Lowers the level so that about as many calls fewer arrive, from the least important ones up. */
-    private void cut(double calls) {
-        double left = calls;
-        for (int i = CLASSES - 1; i >= 0 && left > 0; i--) {
-            double fraction = Math.clamp(level - i, 0.0, 1.0);
-            if (fraction > 0) {
-                double part = arrived[i] == 0 ? 1 : Math.min(1, left / arrived[i]);
-                level = Math.max(LOWEST_LEVEL, i + fraction * (1 - part));
-                left -= arrived[i];
-            }
-        }
-    }
-
-    private void moveKeptSlots(int intervals, int limit) {
-        if (criticalInDistress) {
-            calmIntervals = 0;
-            keptSlots = Math.min(limit, Math.max(keptSlots + 1, keptSlots * RISE_GROWTH));
-            return;
-        }
-        calmIntervals += intervals;
-        if (calmIntervals > CALM_INTERVALS) {
-            keptSlots = Math.max(0, keptSlots - intervals * Math.max(0.25, keptSlots / 8));
-        }
-    }
 }
--- a/sequoianotch-policy/src/main/java/org/sequoianotch/policy/admission/ProtectiveAdmission.java
+++ b/sequoianotch-policy/src/main/java/org/sequoianotch/policy/admission/ProtectiveAdmission.java
@@ -25,6 +25,7 @@
     private final Clock clock;
     private final ConcurrencyLimit limit;
     private final OverloadLevel level;
+    private final WastedCallLevel wastedCallLevel;
     private final WaitingCalls queue = new WaitingCalls();
     private int inFlight;
     private long nextSequence;
@@ -45,6 +46,7 @@
         this.clock = clock;
         this.limit = new ConcurrencyLimit(Math.min(slots, rule.maxInFlight()), clock.monotonicMs());
         this.level = new OverloadLevel(rule.queueTimeMs(), clock.monotonicMs());
+        this.wastedCallLevel = new WastedCallLevel(clock.monotonicMs());
     }
 
     @Override
@@ -77,7 +79,7 @@
         LoadReport report;
         synchronized (this) {
             advance(clock.monotonicMs(), decisions);
-            report = new LoadReport(inFlight, limit.current(), queue.size(), level.level());
+            report = new LoadReport(inFlight, limit.current(), queue.size(), Math.min(level.level(), wastedCallLevel.level()));
         }
         decisions.forEach(Runnable::run);
         return report;
@@ -88,6 +90,7 @@
         synchronized (this) {
             double nowMs = clock.monotonicMs();
             limit.onEnd(admittedAtMs, nowMs, result, latencyMs, inFlight);
+            wastedCallLevel.onEnd(call.request().criticality(), admittedAtMs, result);
             inFlight--;
             advance(nowMs, decisions);
         }
@@ -109,7 +112,8 @@
         for (WaitingCall call : queue.removeExpired(nowMs)) {
             refuse(call, nowMs, "because it waited too long", decisions);
         }
-        level.advance(nowMs, limit.current());
+        level.advance(nowMs);
+        wastedCallLevel.advance(nowMs);
         @Nullable WaitingCall next = queue.mostImportant();
         while (next != null && inFlight < level.limitFor(next.request().criticality(), limit.current())) {
             start(next, nowMs, decisions);
@@ -121,7 +125,7 @@
         queue.remove(call);
         inFlight++;
         double waitedMs = nowMs - call.arrivedAtMs();
-        level.onStart(call.request().criticality(), waitedMs);
+        level.onStart(call.request().criticality(), waitedMs, limit.current());
         Permit permit = new CallPermit(call, nowMs, waitedMs);
         decisions.add(() -> call.cell().decide(Either.right(permit)));
     }
@@ -135,7 +139,7 @@
                     ErrorKind.DEADLINE_BEFORE_RUN,
                     "The deadline passed after %.0f ms in the queue.".formatted(waitedMs));
         } else {
-            level.onRefusal(criticality, waitedMs);
+            level.onRefusal(criticality, call.arrivedAtMs(), limit.current());
             failure = Failure.of(
                     ErrorKind.OVERLOADED,
                     "A %s call was refused after %.0f ms %s; %d calls were in flight (limit %d), %d were queued."
--- /dev/null
+++ b/sequoianotch-policy/src/main/java/org/sequoianotch/policy/admission/WastedCallLevel.java
@@ -0,0 +1,138 @@
+package org.sequoianotch.policy.admission;
+
+import java.util.Arrays;
+import org.sequoianotch.model.Criticality;
+import org.sequoianotch.model.LoadReport;
+
+/**
+ * Admission level that follows the calls that the backend server ran in part and then shed, most often because a
+ * service below it refused a sub-call. The work on such calls is wasted, so they are better refused at the entry node.
+ *
+ * <p>If more than 2% of the calls end this way, the level falls in the most important criticality below critical that
+ * is affected, by the part that was shed, and nothing less important is admitted. Otherwise it rises: slowly at first,
+ * so that a lasting overload is approached in small steps, then faster, so that it returns from 1 to 2 within about
+ * 1.5 s.
+ *
+ * <p>A fall does not help if the calls fail for another reason than their number, for example because a service below is
+ * down. If calls are shed as before although only critical ones are left, and other calls succeeded before the fall, the
+ * level returns to the highest one and stays there for a time that grows with each repetition.
+ *
+ * <p>This class is not thread-safe.
+ */
+final class WastedCallLevel {
+    private static final double INTERVAL_MS = 200;
+    private static final int CLASSES = Criticality.values().length;
+    private static final double TOLERATED_SHARE = 0.02;
+    /** A criticality is lowered if more than this part of its calls is shed; everything less important goes first. */
+    private static final double SHED_CLASS_SHARE = 0.05;
+    /** Part of the shed calls that a fall removes, since the other instances and those below adapt as well. */
+    private static final double DAMPING = 0.3;
+    /** Time in which entry nodes learn of a lower level. */
+    private static final double SETTLE_MS = 100;
+
+    private static final double FIRST_RISE = 0.03;
+    private static final double RISE_GROWTH = 1.5;
+    private static final double LARGEST_RISE = 0.5;
+    /** Steps do not grow for this time after a fall. */
+    private static final double SLOW_RISE_MS = 600;
+
+    /** Critical calls are not refused for what happens below; only their own queue does that. */
+    private static final int LOWEST_LEVEL = 1;
+
+    private static final double NEARLY_LOWEST_LEVEL = 1.15;
+    /** A fall has helped if the share that is shed is below this part of what it was. */
+    private static final double IMPROVED = 0.7;
+    /** Intervals at the lowest level after which a fall that did not help is taken back. */
+    private static final int FUTILE_INTERVALS = 5;
+    /** Part of the calls below critical that must have succeeded for a fall to be taken back. */
+    private static final double LOST_BY_FALL = 0.2;
+
+    private static final double FIRST_HOLD_MS = 2_000;
+    private static final double LONGEST_HOLD_MS = 30_000;
+
+    private final int[] ended = new int[CLASSES];
+    private final int[] shed = new int[CLASSES];
+    private double intervalStartMs;
+    private double countFromMs = Double.NEGATIVE_INFINITY;
+    private double level = LoadReport.ADMIT_ALL;
+    private double rise = FIRST_RISE;
+
+    private double shareAtFirstFall;
+    private double lostByFall;
+    private int futileIntervals;
+    private double holdMs;
+    private double holdUntilMs = Double.NEGATIVE_INFINITY;
+
+    WastedCallLevel(double nowMs) {
+        this.intervalStartMs = nowMs;
+    }
+
+    double level() {
+        return level;
+    }
+
+    void onEnd(Criticality criticality, double admittedAtMs, CallResult result) {
+        if (result != CallResult.CANCELLED && admittedAtMs >= countFromMs) {
+            ended[criticality.ordinal()]++;
+            shed[criticality.ordinal()] += result.isSignOfOverload() ? 1 : 0;
+        }
+    }
+
+    /** Evaluates the calls that ended in an interval. Without calls the level rises. */
+    void advance(double nowMs) {
+        if (nowMs - intervalStartMs < INTERVAL_MS) {
+            return;
+        }
+        int calls = Arrays.stream(ended).sum();
+        int shedCalls = Arrays.stream(shed).sum();
+        double share = calls == 0 ? 0 : (double) shedCalls / calls;
+        if (shedCalls <= 1 || share <= TOLERATED_SHARE) {
+            rise(nowMs);
+        } else if (nowMs >= holdUntilMs) {
+            fall(share, nowMs);
+        }
+        intervalStartMs = nowMs;
+        Arrays.fill(ended, 0);
+        Arrays.fill(shed, 0);
+    }
+
+    private void rise(double nowMs) {
+        futileIntervals = 0;
+        level = Math.min(LoadReport.ADMIT_ALL, level + rise);
+        if (nowMs >= countFromMs + SLOW_RISE_MS) {
+            rise = Math.min(LARGEST_RISE, rise * RISE_GROWTH);
+        }
+        if (level >= LoadReport.ADMIT_ALL && nowMs >= holdUntilMs + holdMs) {
+            holdMs = 0;
+        }
+    }
+
+    private void fall(double share, double nowMs) {
+        if (level >= LoadReport.ADMIT_ALL) {
+            shareAtFirstFall = share;
+            lostByFall = 1 - (double) (shed[1] + shed[2]) / Math.max(1, ended[1] + ended[2]);
+        }
+        if (isFutile(share)) {
+            level = LoadReport.ADMIT_ALL;
+            holdMs = Math.clamp(2 * holdMs, FIRST_HOLD_MS, LONGEST_HOLD_MS);
+            holdUntilMs = nowMs + holdMs;
+            return;
+        }
+        for (int i = LOWEST_LEVEL; i < CLASSES; i++) {
+            double shedShare = (double) shed[i] / Math.max(1, ended[i]);
+            if (shedShare > SHED_CLASS_SHARE) {
+                double admitted = Math.clamp(level - i, 0.0, 1.0);
+                level = Math.min(level, i + admitted * (1 - DAMPING * shedShare));
+                break;
+            }
+        }
+        rise = FIRST_RISE;
+        countFromMs = nowMs + SETTLE_MS;
+    }
+
+    private boolean isFutile(double share) {
+        boolean helped = level > NEARLY_LOWEST_LEVEL || share < IMPROVED * shareAtFirstFall;
+        futileIntervals = helped ? 0 : futileIntervals + 1;
+        return futileIntervals >= FUTILE_INTERVALS && lostByFall > LOST_BY_FALL;
+    }
+}
