--- a/sequoianotch-policy/src/main/java/org/sequoianotch/policy/admission/OverloadLevel.java
+++ b/sequoianotch-policy/src/main/java/org/sequoianotch/policy/admission/OverloadLevel.java
@@ -7,12 +7,12 @@
 /**
  * Admission level of one instance, and the slots that it keeps for more important calls.
  *
- * <p>The level is evaluated each 100 ms. It falls if the refused calls of a criticality exceed 25% of the calls that
- * started. It then admits nothing that is less important, and fewer calls of this criticality. Refusals of calls that
- * arrived before the last fall do not count, because they do not show its effect, and half of the excess is removed at
- * a time, because other nodes learn of the new level only with their next answer. The surplus that is left keeps the
- * slots in use; refusing it takes no work of the backend server. The level rises while few calls are refused, in steps
- * that grow, so that it returns from 1 to 3 within about 1 s.
+ * <p>The level is evaluated each 100 ms. It falls if the refused calls of a criticality exceed 40% of the calls that
+ * started (100% if all are sub-calls). It then admits nothing that is less important, and fewer calls of this
+ * criticality. Refusals of calls that arrived before the last fall do not count, because they do not show its effect,
+ * and only a part of the excess is removed at a time, because other nodes learn of the new level only with their next
+ * answer. The surplus that is left keeps the slots in use; refusing it takes no work of the backend server. The level
+ * rises while few calls are refused, in steps that grow, so that it returns from 1 to 3 within about 1 s.
  *
  * <p>A number of slots is kept from standard calls, and twice that number from sheddable calls. It rises with each
  * critical call that is refused or waits for most of the queue time limit, and falls a little with each other critical
@@ -23,14 +23,18 @@
 final class OverloadLevel {
     private static final double INTERVAL_MS = 100;
     private static final int CLASSES = Criticality.values().length;
-    private static final double KEPT_SURPLUS = 0.25;
-    private static final double SURPLUS_FOR_RISE = 0.15;
-    private static final double DAMPING = 0.5;
+    private static final double KEPT_SURPLUS = 0.4;
+    /** Sub-calls have cost work before, and refusing them earlier does not save it; their callers adapt instead. */
+    private static final double KEPT_SURPLUS_OF_SUB_CALLS = 1.0;
+    /** Part of the kept surplus up to which the level rises. */
+    private static final double SURPLUS_FOR_RISE = 0.65;
+
+    private static final double DAMPING = 0.3;
     private static final double LONG_WAIT_SHARE = 0.9;
-    private static final double SLOTS_PER_LONG_WAIT = 0.25;
+    private static final double SLOTS_PER_LONG_WAIT = 0.15;
     private static final double SLOTS_PER_SHORT_WAIT = 0.004;
     /** Slots given back in each interval, so that none are kept once critical calls stop coming. */
-    private static final double SLOTS_PER_INTERVAL = 0.03;
+    private static final double SLOTS_PER_INTERVAL = 0.1;
 
     private static final double FIRST_RISE = 0.05;
     private static final double RISE_GROWTH = 1.5;
@@ -43,6 +47,7 @@
     private final int[] refused = new int[CLASSES];
     private int refusedInAll;
     private int started;
+    private int subCalls;
 
     private double intervalStartMs;
     private double fellAtMs = Double.NEGATIVE_INFINITY;
@@ -65,8 +70,9 @@
         return Math.max(criticality == Criticality.SHEDDABLE ? 0 : 1, limit - kept);
     }
 
-    void onArrival(Criticality criticality) {
+    void onArrival(Criticality criticality, int depth) {
         arrived[criticality.ordinal()]++;
+        subCalls += depth > 0 ? 1 : 0;
     }
 
     void onStart(Criticality criticality, double waitedMs, int limit) {
@@ -103,11 +109,14 @@
         Arrays.fill(refused, 0);
         refusedInAll = 0;
         started = 0;
+        subCalls = 0;
     }
 
     private void moveLevel(int intervals, double nowMs) {
+        double subCallShare = (double) subCalls / Math.max(1, arrived[0] + arrived[1] + arrived[2]);
+        double kept = started * (KEPT_SURPLUS + subCallShare * (KEPT_SURPLUS_OF_SUB_CALLS - KEPT_SURPLUS));
         for (int i = 0; i < CLASSES; i++) {
-            double excess = refused[i] - KEPT_SURPLUS * started;
+            double excess = refused[i] - kept;
             if (refused[i] > 1 && excess > 0) {
                 double admitted = Math.clamp(level - i, 0.0, 1.0);
                 double cut = Math.min(1, DAMPING * excess / Math.max(1, arrived[i]));
@@ -119,7 +128,7 @@
                 return;
             }
         }
-        if (refusedInAll > SURPLUS_FOR_RISE * started) {
+        if (refusedInAll > SURPLUS_FOR_RISE * kept) {
             return;
         }
         for (int i = 0; i < intervals && level < LoadReport.ADMIT_ALL; i++) {
--- a/sequoianotch-policy/src/main/java/org/sequoianotch/policy/admission/ProtectiveAdmission.java
+++ b/sequoianotch-policy/src/main/java/org/sequoianotch/policy/admission/ProtectiveAdmission.java
@@ -58,7 +58,7 @@
             double nowMs = clock.monotonicMs();
             double expiresAtMs = Math.min(nowMs + rule.queueTimeMs(), request.deadlineAtMs());
             call = new WaitingCall(request, nextSequence++, nowMs, expiresAtMs, cell);
-            level.onArrival(request.criticality());
+            level.onArrival(request.criticality(), request.depth());
             if (request.deadlineAtMs() <= nowMs) {
                 refuse(call, nowMs, "before it was queued", decisions);
             } else {
@@ -79,7 +79,8 @@
         LoadReport report;
         synchronized (this) {
             advance(clock.monotonicMs(), decisions);
-            report = new LoadReport(inFlight, limit.current(), queue.size(), Math.min(level.level(), wastedCallLevel.level()));
+            report = new LoadReport(
+                    inFlight, limit.current(), queue.size(), Math.min(level.level(), wastedCallLevel.level()));
         }
         decisions.forEach(Runnable::run);
         return report;
--- a/sequoianotch-policy/src/main/java/org/sequoianotch/policy/admission/WaitingCalls.java
+++ b/sequoianotch-policy/src/main/java/org/sequoianotch/policy/admission/WaitingCalls.java
@@ -39,9 +39,10 @@
         return call;
     }
 
+    /** Removes the calls whose time is over. A call whose time ends right now may still start. */
     List<WaitingCall> removeExpired(double nowMs) {
         List<WaitingCall> expired = new ArrayList<>();
-        while (!byExpiry.isEmpty() && byExpiry.first().expiresAtMs() <= nowMs) {
+        while (!byExpiry.isEmpty() && byExpiry.first().expiresAtMs() < nowMs) {
             WaitingCall call = byExpiry.first();
             remove(call);
             expired.add(call);
--- a/sequoianotch-policy/src/main/java/org/sequoianotch/policy/admission/WastedCallLevel.java
+++ b/sequoianotch-policy/src/main/java/org/sequoianotch/policy/admission/WastedCallLevel.java
@@ -9,13 +9,12 @@
  * service below it refused a sub-call. The work on such calls is wasted, so they are better refused at the entry node.
  *
  * <p>If more than 2% of the calls end this way, the level falls in the most important criticality below critical that
- * is affected, by the part that was shed, and nothing less important is admitted. Otherwise it rises: slowly at first,
- * so that a lasting overload is approached in small steps, then faster, so that it returns from 1 to 2 within about
- * 1.5 s.
+ * is affected, by a part of what was shed, and nothing less important is admitted. Otherwise it rises: slowly for 1.5 s
+ * after a fall, so that a lasting overload is approached in small steps, then in steps that grow.
  *
- * <p>A fall does not help if the calls fail for another reason than their number, for example because a service below is
- * down. If calls are shed as before although only critical ones are left, and other calls succeeded before the fall, the
- * level returns to the highest one and stays there for a time that grows with each repetition.
+ * <p>A fall does not help if the calls fail for another reason than their number, for example because a service below
+ * is down. If calls are shed as before although only critical ones are left, and other calls succeeded before the fall,
+ * the level returns to the highest one and stays there for a time that grows with each repetition.
  *
  * <p>This class is not thread-safe.
  */
@@ -26,15 +25,21 @@
     /** A criticality is lowered if more than this part of its calls is shed; everything less important goes first. */
     private static final double SHED_CLASS_SHARE = 0.05;
     /** Part of the shed calls that a fall removes, since the other instances and those below adapt as well. */
-    private static final double DAMPING = 0.3;
+    private static final double DAMPING = 0.6;
+    /** The same part for a fall from a level above which the overload has only begun. */
+    private static final double FIRST_DAMPING = 0.9;
+
+    private static final double HIGH_LEVEL = 2;
+    /** An interval ends early if this many calls are shed in it, which shows the beginning of an overload. */
+    private static final int MANY_SHED_CALLS = 4;
     /** Time in which entry nodes learn of a lower level. */
-    private static final double SETTLE_MS = 100;
+    private static final double SETTLE_MS = 150;
 
-    private static final double FIRST_RISE = 0.03;
-    private static final double RISE_GROWTH = 1.5;
+    private static final double FIRST_RISE = 0.02;
+    private static final double RISE_GROWTH = 1.8;
     private static final double LARGEST_RISE = 0.5;
     /** Steps do not grow for this time after a fall. */
-    private static final double SLOW_RISE_MS = 600;
+    private static final double SLOW_RISE_MS = 1500;
 
     /** Critical calls are not refused for what happens below; only their own queue does that. */
     private static final int LOWEST_LEVEL = 1;
@@ -80,15 +85,15 @@
 
     /** Evaluates the calls that ended in an interval. Without calls the level rises. */
     void advance(double nowMs) {
-        if (nowMs - intervalStartMs < INTERVAL_MS) {
+        int shedCalls = shed[0] + shed[1] + shed[2];
+        if (nowMs - intervalStartMs < INTERVAL_MS && (shedCalls < MANY_SHED_CALLS || level <= HIGH_LEVEL)) {
             return;
         }
-        int calls = Arrays.stream(ended).sum();
-        int shedCalls = Arrays.stream(shed).sum();
+        int calls = ended[0] + ended[1] + ended[2];
         double share = calls == 0 ? 0 : (double) shedCalls / calls;
-        if (shedCalls <= 1 || share <= TOLERATED_SHARE) {
+        if (share <= TOLERATED_SHARE / 2) {
             rise(nowMs);
-        } else if (nowMs >= holdUntilMs) {
+        } else if (share > TOLERATED_SHARE && shedCalls > 1 && nowMs >= holdUntilMs) {
             fall(share, nowMs);
         }
         intervalStartMs = nowMs;
@@ -122,7 +127,8 @@
             double shedShare = (double) shed[i] / Math.max(1, ended[i]);
             if (shedShare > SHED_CLASS_SHARE) {
                 double admitted = Math.clamp(level - i, 0.0, 1.0);
-                level = Math.min(level, i + admitted * (1 - DAMPING * shedShare));
+                level = Math.min(
+                        level, i + admitted * (1 - (level > HIGH_LEVEL ? FIRST_DAMPING : DAMPING) * shedShare));
                 break;
             }
         }
--- /dev/null
+++ b/sequoianotch-policy/src/test/java/org/sequoianotch/policy/simulation/SimulatedClient.java
@@ -0,0 +1,118 @@
+package org.sequoianotch.policy.simulation;
+
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.sequoianotch.error.ErrorKind;
+import org.sequoianotch.error.Failure;
+import org.sequoianotch.model.DataCentre;
+import org.sequoianotch.model.HostId;
+import org.sequoianotch.model.Instance;
+import org.sequoianotch.model.Region;
+import org.sequoianotch.policy.admission.EntryGate;
+import org.sequoianotch.policy.retry.RetryAllowance;
+import org.sequoianotch.policy.retry.RetryPolicy;
+import org.sequoianotch.policy.retry.RetryQuestion;
+import org.sequoianotch.policy.routing.Attempt;
+import org.sequoianotch.policy.routing.AttemptResult;
+import org.sequoianotch.policy.routing.InstanceSelector;
+import org.sequoianotch.policy.routing.RoutingRequest;
+import org.sequoianotch.template.RepeatRule;
+
+/** The calls of one node to one service, decided by the code under test. */
+final class SimulatedClient {
+    static final DataCentre HOME = DataCentre.of("brest");
+    static final Region HOME_REGION = Region.of("west");
+
+    private final Simulation simulation;
+    private final SimulatedService target;
+    private final EntryGate gate;
+    private final InstanceSelector selector;
+    private final RetryPolicy retryPolicy;
+
+    SimulatedClient(Simulation simulation, SimulatedService target) {
+        this.simulation = simulation;
+        this.target = target;
+        Random random = new Random(simulation.random.nextLong());
+        this.gate = simulation.mode.newEntryGate(simulation.clock, random);
+        this.selector = simulation.mode.newSelector(target.rule, HOME, HOME_REGION, 5, simulation.clock, random);
+        this.retryPolicy = simulation.mode.newRetryPolicy(target.rule, simulation.clock);
+    }
+
+    void call(SimulatedRequest request, int depth, RetryAllowance allowance, Consumer<Optional<Failure>> done) {
+        retryPolicy.onFirstAttempt();
+        new Call(request, depth, allowance, done).attempt();
+    }
+
+    private final class Call {
+        private final SimulatedRequest request;
+        private final int depth;
+        private final RetryAllowance allowance;
+        private final Consumer<Optional<Failure>> done;
+        private final Set<HostId> tried = new HashSet<>();
+        private int attempts;
+
+        Call(SimulatedRequest request, int depth, RetryAllowance allowance, Consumer<Optional<Failure>> done) {
+            this.request = request;
+            this.depth = depth;
+            this.allowance = allowance;
+            this.done = done;
+        }
+
+        void attempt() {
+            Optional<Failure> refusal = gate.check(request.criticality, target.instances());
+            if (refusal.isPresent()) {
+                done.accept(refusal);
+                return;
+            }
+            Optional<Instance> selected =
+                    selector.select(new RoutingRequest(request.criticality, 1_024, tried), target.instances());
+            if (selected.isEmpty()) {
+                done.accept(Optional.of(Failure.of(ErrorKind.NO_INSTANCE, "")));
+                return;
+            }
+            Instance instance = selected.get();
+            attempts++;
+            tried.add(instance.host());
+            Attempt attempt = selector.start(instance);
+            double startedAtMs = simulation.nowMs();
+            SimulatedInstance callee = target.find(instance.host());
+            RetryAllowance share = RetryAllowance.of(allowance.takeShare());
+            simulation.after(
+                    Simulation.NETWORK_MS,
+                    () -> callee.serve(
+                            request,
+                            depth,
+                            share,
+                            failure -> simulation.after(Simulation.NETWORK_MS, () -> {
+                                gate.observe(instance.host(), callee.load());
+                                attempt.finish(result(failure), simulation.nowMs() - startedAtMs, callee.load());
+                                allowance.giveBack(share.close());
+                                onAnswer(failure);
+                            })));
+        }
+
+        private void onAnswer(Optional<Failure> failure) {
+            double leftMs = request.deadlineAtMs - simulation.nowMs();
+            if (failure.isPresent()
+                    && retryPolicy.mayRetry(
+                            new RetryQuestion(failure.get(), RepeatRule.SAFE, attempts, leftMs), allowance)) {
+                attempt();
+            } else {
+                done.accept(failure);
+            }
+        }
+    }
+
+    private static AttemptResult result(Optional<Failure> failure) {
+        return failure.map(cause -> switch (cause.kind()) {
+                    case OVERLOADED, RETRIES_EXHAUSTED, DRAINING -> AttemptResult.REFUSED;
+                    case DEADLINE_BEFORE_RUN, DEADLINE_IN_DOUBT -> AttemptResult.TIMED_OUT;
+                    case CALLER_GONE -> AttemptResult.CANCELLED;
+                    default -> AttemptResult.ERRED;
+                })
+                .orElse(AttemptResult.SUCCEEDED);
+    }
+}
--- /dev/null
+++ b/sequoianotch-policy/src/test/java/org/sequoianotch/policy/simulation/SimulatedRequest.java
@@ -0,0 +1,61 @@
+package org.sequoianotch.policy.simulation;
+
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import org.sequoianotch.model.Criticality;
+import org.sequoianotch.model.RequestId;
+
+/** One request from outside with the work that was done for it. */
+final class SimulatedRequest {
+    final RequestId id;
+    final Criticality criticality;
+    final double deadlineAtMs;
+    private final Tally tally;
+    private final Set<Runnable> onCancel = new LinkedHashSet<>();
+    private double workMs;
+    private boolean ended;
+
+    SimulatedRequest(RequestId id, Criticality criticality, double deadlineAtMs, Tally tally) {
+        this.id = id;
+        this.criticality = criticality;
+        this.deadlineAtMs = deadlineAtMs;
+        this.tally = tally;
+    }
+
+    /** Counts work of a backend server; work after the request has ended is wasted. */
+    void addWork(double ms) {
+        if (ended) {
+            tally.wastedMs += ms;
+        } else {
+            workMs += ms;
+        }
+    }
+
+    /** Ends the request; returns false if it had ended before. */
+    boolean end(boolean successful) {
+        if (ended) {
+            return false;
+        }
+        ended = true;
+        if (successful) {
+            tally.usefulMs += workMs;
+        } else {
+            tally.wastedMs += workMs;
+        }
+        return true;
+    }
+
+    void onCancel(Runnable action) {
+        onCancel.add(action);
+    }
+
+    void offCancel(Runnable action) {
+        onCancel.remove(action);
+    }
+
+    void cancel() {
+        List.copyOf(onCancel).forEach(Runnable::run);
+        onCancel.clear();
+    }
+}
--- /dev/null
+++ b/sequoianotch-policy/src/test/java/org/sequoianotch/policy/simulation/SimulatedService.java
@@ -0,0 +1,55 @@
+package org.sequoianotch.policy.simulation;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.jspecify.annotations.Nullable;
+import org.sequoianotch.model.BackendState;
+import org.sequoianotch.model.HostId;
+import org.sequoianotch.model.Instance;
+import org.sequoianotch.model.ServiceName;
+import org.sequoianotch.template.ServiceRule;
+
+/** A service with its instances, all in one data centre. */
+final class SimulatedService {
+    final ServiceRule rule;
+    final double workMs;
+    final @Nullable SimulatedService below;
+    final List<SimulatedInstance> members = new ArrayList<>();
+    private final List<Instance> instances;
+
+    SimulatedService(
+            Simulation simulation, String name, int count, int slots, double workMs, @Nullable SimulatedService below) {
+        // The limits are the defaults of the template parser.
+        this.rule = new ServiceRule(ServiceName.of(name), 1_000, 50, 100, 10, 0);
+        this.workMs = workMs;
+        this.below = below;
+        for (int i = 0; i < count; i++) {
+            Instance instance = new Instance(
+                    rule.service(),
+                    HostId.of(name + "-" + i),
+                    SimulatedClient.HOME,
+                    SimulatedClient.HOME_REGION,
+                    "127.0.0.1:1",
+                    slots,
+                    BackendState.SERVING,
+                    0);
+            members.add(new SimulatedInstance(simulation, this, instance));
+        }
+        this.instances = members.stream().map(member -> member.instance).toList();
+    }
+
+    List<Instance> instances() {
+        return instances;
+    }
+
+    SimulatedInstance find(HostId host) {
+        return members.stream()
+                .filter(member -> member.instance.host().equals(host))
+                .findFirst()
+                .orElseThrow();
+    }
+
+    double capacityPerMs() {
+        return instances.stream().mapToInt(Instance::slots).sum() / workMs;
+    }
+}
--- /dev/null
+++ b/sequoianotch-policy/src/test/java/org/sequoianotch/policy/simulation/Workload.java
@@ -0,0 +1,72 @@
+package org.sequoianotch.policy.simulation;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.IntStream;
+import org.sequoianotch.error.ErrorKind;
+import org.sequoianotch.error.Failure;
+import org.sequoianotch.model.Criticality;
+import org.sequoianotch.model.RequestId;
+import org.sequoianotch.policy.PolicyMode;
+import org.sequoianotch.policy.retry.RetryAllowance;
+
+/** Users who send requests through several entry nodes and may repeat them. */
+final class Workload {
+    static final double DEADLINE_MS = 1_000;
+    private static final int ENTRY_NODES = 6;
+    private static final double REPEAT_DELAY_MS = 50;
+    private static final Failure TIMEOUT = Failure.of(ErrorKind.DEADLINE_IN_DOUBT, "The user gave up.");
+
+    final Tally tally = new Tally();
+    private final Simulation simulation;
+    private final List<SimulatedClient> entries;
+    private final int repeats;
+
+    Workload(Simulation simulation, SimulatedService target, int repeats) {
+        this.simulation = simulation;
+        this.repeats = repeats;
+        this.entries = IntStream.range(0, ENTRY_NODES)
+                .mapToObj(i -> new SimulatedClient(simulation, target))
+                .toList();
+    }
+
+    void offer(Criticality criticality, double ratePerMs, double untilMs) {
+        // Random distances, as from many independent users.
+        simulation.after(simulation.exponential(1 / ratePerMs), () -> {
+            if (simulation.nowMs() < untilMs) {
+                issue(criticality);
+                offer(criticality, ratePerMs, untilMs);
+            }
+        });
+    }
+
+    private void issue(Criticality criticality) {
+        Tally.User user = new Tally.User(criticality, simulation.nowMs());
+        tally.add(user);
+        send(user, repeats);
+    }
+
+    private void send(Tally.User user, int repeatsLeft) {
+        SimulatedRequest request = new SimulatedRequest(
+                RequestId.random(simulation.random), user.criticality, simulation.nowMs() + DEADLINE_MS, tally);
+        entries.get(simulation.random.nextInt(ENTRY_NODES))
+                .call(request, 0, RetryAllowance.of(3), failure -> onEnd(user, request, failure, repeatsLeft));
+        simulation.after(DEADLINE_MS, () -> {
+            if (onEnd(user, request, Optional.of(TIMEOUT), repeatsLeft) && simulation.mode == PolicyMode.PROTECTIVE) {
+                request.cancel();
+            }
+        });
+    }
+
+    private boolean onEnd(Tally.User user, SimulatedRequest request, Optional<Failure> failure, int repeatsLeft) {
+        if (!request.end(failure.isEmpty())) {
+            return false;
+        }
+        if (failure.isEmpty()) {
+            user.completedAtMs = simulation.nowMs();
+        } else if (repeatsLeft > 0) {
+            simulation.after(REPEAT_DELAY_MS, () -> send(user, repeatsLeft - 1));
+        }
+        return true;
+    }
+}
