Test link failures, TLS and the codec, and count each malformed connection once

Bytes after a malformed frame were decoded and counted again, although the connection was already closing.

--- a/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/FrameCodec.java
+++ b/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/FrameCodec.java
@@ -25,6 +25,9 @@
     /** Longest part of a frame before the payload of a body part: array header, type, call id and binary header. */
     private static final int MAX_BODY_HEAD_BYTES = 16;
 
+    /** Frames up to this size are copied whole before their type is known, since a second copy would cost more. */
+    private static final int SMALL_FRAME_BYTES = 1_024;
+
     private FrameCodec() {}
 
     /**
@@ -99,7 +102,7 @@
             throw new FrameFormatException("frame of " + length + " bytes is over " + MAX_FRAME_BYTES);
         }
         try {
-            byte[] head = copy(buffer, 0, Math.min(length, MAX_BODY_HEAD_BYTES));
+            byte[] head = copy(buffer, 0, length <= SMALL_FRAME_BYTES ? length : MAX_BODY_HEAD_BYTES);
             FrameReader headReader = new FrameReader(head, length);
             FrameType type = headReader.readType();
             if (type.isBodyPart()) {
--- a/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/link/FrameChannel.java
+++ b/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/link/FrameChannel.java
@@ -158,7 +158,7 @@
     /** Why the connection ended. */
     String reason() {
         String reason = closeReason.get();
-        return reason == null ? "the peer closed the connection" : reason;
+        return reason == null ? "it is still open" : reason;
     }
 
     String remoteAddress() {
@@ -207,6 +207,7 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
+        closeReason.compareAndSet(null, "the peer closed the connection");
         queue.add(END);
         context.fireChannelInactive();
     }
@@ -221,6 +222,9 @@
     }
 
     private void malformed(String detail) {
+        if (closeReason.get() != null) {
+            return;
+        }
         counters.countMalformedFrame();
         LOG.warn("[peer] Closing the connection with {} after a malformed frame: {}", remoteAddress(), detail);
         close("malformed frame: " + detail);
--- a/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/link/Link.java
+++ b/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/link/Link.java
@@ -51,7 +51,12 @@
         try {
             Frame frame = channel.take();
             while (frame != null) {
-                dispatch(frame);
+                if (frame instanceof Frame.Ping ping) {
+                    // The channel answers later heartbeats; this one arrived before the handshake was finished here.
+                    sendSmall(new Frame.Pong(ping.number()));
+                } else {
+                    dispatch(frame);
+                }
                 frame = channel.take();
             }
         } catch (ProtocolViolationException e) {
--- /dev/null
+++ b/sequoianotch-protocol/src/test/java/org/sequoianotch/protocol/FrameCodecTest.java
@@ -0,0 +1,223 @@
+package org.sequoianotch.protocol;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import java.nio.ByteBuffer;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Random;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.sequoianotch.error.ErrorKind;
+import org.sequoianotch.error.Failure;
+import org.sequoianotch.model.Criticality;
+import org.sequoianotch.model.DataCentre;
+import org.sequoianotch.model.HostId;
+import org.sequoianotch.model.LoadReport;
+import org.sequoianotch.model.RequestId;
+import org.sequoianotch.model.ServiceName;
+
+class FrameCodecTest {
+    /** Guards against fields that are lost, swapped or narrowed on the wire. */
+    @Property(tries = 1_000, seed = "20261204")
+    void framesRoundTrip(@ForAll("frames") Frame frame) throws FrameFormatException {
+        byte[] bytes = FrameCodec.encode(frame);
+        Frame decoded = FrameCodec.decode(bytes);
+        assertThat(decoded.getClass()).isEqualTo(frame.getClass());
+        assertThat(FrameCodec.encode(decoded)).isEqualTo(bytes);
+        if (!decoded.toString().contains("[B@")) {
+            assertThat(decoded).isEqualTo(frame);
+        }
+    }
+
+    /** Guards against a prefix or a shared body part that differs from the plain encoding. */
+    @Property(tries = 200, seed = "20261204")
+    void prefixedFormsAgree(
+            @ForAll @IntRange(min = 1, max = Frame.MAX_CHUNK_BYTES) int length, @ForAll boolean ofAnswer)
+            throws FrameFormatException {
+        byte[] bytes = new byte[length + 7];
+        new Random(length).nextBytes(bytes);
+        byte[] part = Arrays.copyOfRange(bytes, 3, 3 + length);
+        Frame frame = ofAnswer ? new Frame.AnswerBody(900, part) : new Frame.Body(900, part);
+        byte[] plain = FrameCodec.encode(frame);
+        ByteBuffer expected =
+                ByteBuffer.allocate(4 + plain.length).putInt(plain.length).put(plain);
+        ByteBuf shared = FrameCodec.encodeBody(900, ofAnswer, bytes, 3, length);
+        assertThat(ByteBufUtil.getBytes(shared)).isEqualTo(expected.array());
+        assertThat(ByteBufUtil.getBytes(FrameCodec.encodeWithPrefix(frame))).isEqualTo(expected.array());
+    }
+
+    /** Guards against garbage that leads to anything but a frame or the one documented exception. */
+    @Property(tries = 5_000, seed = "20261204")
+    void garbageIsReported(@ForAll @Size(max = 200) byte[] bytes) {
+        decodeOrReport(bytes);
+    }
+
+    /** Guards against damaged frames that slip past the checks; these come closer to valid ones than random bytes. */
+    @Property(tries = 5_000, seed = "20261204")
+    void damagedFramesAreReported(@ForAll("frames") Frame frame, @ForAll int where, @ForAll byte what)
+            throws FrameFormatException {
+        byte[] bytes = FrameCodec.encode(frame);
+        bytes[Math.floorMod(where, bytes.length)] = what;
+        decodeOrReport(bytes);
+    }
+
+    /** Guards against frames that are taken as whole although their end is missing, or something follows. */
+    @Property(tries = 1_000, seed = "20261204")
+    void truncatedAndTrailingBytesAreReported(@ForAll("frames") Frame frame, @ForAll int where)
+            throws FrameFormatException {
+        byte[] bytes = FrameCodec.encode(frame);
+        byte[] truncated = Arrays.copyOf(bytes, Math.floorMod(where, bytes.length));
+        assertThrows(FrameFormatException.class, () -> FrameCodec.decode(truncated));
+        byte[] longer = Arrays.copyOf(bytes, bytes.length + 1);
+        assertThrows(FrameFormatException.class, () -> FrameCodec.decode(longer));
+    }
+
+    /** Guards against malformed frames whose report does not say what is wrong. */
+    @ParameterizedTest
+    @MethodSource("malformed")
+    void reportNamesFault(byte[] bytes, String message) {
+        FrameFormatException e = assertThrows(FrameFormatException.class, () -> FrameCodec.decode(bytes));
+        assertThat(e).hasMessageThat().contains(message);
+    }
+
+    static List<Arguments> malformed() throws Exception {
+        return List.of(
+                args(packed(p -> p.packArrayHeader(2).packInt(99).packInt(1)), "frame type 99 is unknown"),
+                args(packed(p -> p.packArrayHeader(2).packInt(0).packInt(1)), "frame type 0 is unknown"),
+                args(packed(p -> p.packArrayHeader(0)), "empty array"),
+                args(packed(p -> p.packInt(6)), "Expected Array"),
+                args(packed(p -> p.packArrayHeader(3).packInt(16).packInt(1).packInt(1)), "2 fields instead of 1"),
+                args(packed(p -> p.packArrayHeader(2).packInt(16).packString("1")), "Expected Integer"),
+                args(packed(p -> p.packArrayHeader(3).packInt(5).packInt(1).packBinaryHeader(1 << 30)), "truncated"),
+                args(packed(p -> p.packArrayHeader(3).packInt(5).packInt(1).packBinaryHeader(0)), "0 bytes"),
+                args(packed(p -> p.packArrayHeader(3).packInt(11).packInt(1).packInt(65_537)), "window of 65537"),
+                args(packed(p -> p.packArrayHeader(2).packInt(6).packInt(0)), "id 0 is not positive"),
+                args(
+                        packed(p -> p.packArrayHeader(4)
+                                .packInt(13)
+                                .packInt(1)
+                                .packInt(9)
+                                .packBinaryHeader(0)),
+                        "topic 9"),
+                args(new byte[FrameCodec.MAX_FRAME_BYTES + 1], "is over 262144"));
+    }
+
+    /** Guards against frames that the peer would refuse as too large and close the link for. */
+    @ParameterizedTest
+    @ValueSource(ints = {FrameCodec.MAX_FRAME_BYTES, 1 << 20})
+    void oversizeFrameIsNotEncoded(int payloadBytes) {
+        Frame ask = new Frame.Ask(1, Topic.CONTROL, new byte[payloadBytes]);
+        assertThrows(FrameFormatException.class, () -> FrameCodec.encode(ask));
+    }
+
+    private interface Packing {
+        void pack(MessageBufferPacker packer) throws Exception;
+    }
+
+    private static byte[] packed(Packing packing) throws Exception {
+        try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+            packing.pack(packer);
+            return packer.toByteArray();
+        }
+    }
+
+    private static Arguments args(byte[] bytes, String message) {
+        return Arguments.of(bytes, message);
+    }
+
+    private static void decodeOrReport(byte[] bytes) {
+        try {
+            assertThat(FrameCodec.decode(bytes)).isNotNull();
+        } catch (FrameFormatException e) {
+            assertThat(e).hasMessageThat().isNotEmpty();
+        }
+    }
+
+    @Provide
+    Arbitrary<Frame> frames() {
+        Arbitrary<Long> ids = Arbitraries.longs().between(1, Long.MAX_VALUE);
+        Arbitrary<String> texts = Arbitraries.strings().map(FrameCodecTest::withoutSurrogates);
+        Arbitrary<byte[]> proofs = Arbitraries.bytes().array(byte[].class).ofSize(Frame.PROOF_BYTES);
+        Arbitrary<byte[]> payloads =
+                Arbitraries.bytes().array(byte[].class).ofMinSize(1).ofMaxSize(3_000);
+        Arbitrary<HostId> hosts = Arbitraries.of("h", "host-17").map(HostId::of);
+        Arbitrary<DataCentre> dataCentres = Arbitraries.of("a", "dc-2").map(DataCentre::of);
+        Arbitrary<Integer> counts = Arbitraries.integers().between(0, Integer.MAX_VALUE);
+        Arbitrary<Failure> failures = Combinators.combine(
+                        Arbitraries.of(ErrorKind.class),
+                        texts,
+                        Arbitraries.longs().greaterOrEqual(0))
+                .as(Failure::new);
+        Arbitrary<AnswerTrailer> trailers = Combinators.combine(
+                        counts, counts, counts, Arbitraries.doubles().between(0, 3))
+                .as((a, b, c, level) -> new AnswerTrailer(a, new LoadReport(b, Math.max(1, c), a, level)));
+        Arbitrary<List<HeaderField>> headers =
+                Combinators.combine(texts, texts).as(HeaderField::new).list().ofMaxSize(8);
+        Arbitrary<Long> lengths = Arbitraries.longs().greaterOrEqual(CallHeader.LENGTH_UNKNOWN);
+        Arbitrary<CallHeader> calls = Combinators.combine(
+                        ids,
+                        texts,
+                        headers,
+                        ids,
+                        Arbitraries.of(Criticality.class),
+                        counts,
+                        texts.injectNull(0.5),
+                        lengths)
+                .as((id, text, fields, timeLeftMs, criticality, count, key, length) -> new CallHeader(
+                        new RequestId(id, ~id),
+                        ServiceName.of("jury"),
+                        text,
+                        "/" + text,
+                        fields,
+                        timeLeftMs,
+                        criticality,
+                        count,
+                        count,
+                        key,
+                        length));
+        Arbitrary<AnswerHeader> answers = Combinators.combine(
+                        Arbitraries.integers().between(200, 599), headers, lengths)
+                .as(AnswerHeader::new);
+        return Arbitraries.oneOf(
+                Combinators.combine(counts, hosts, dataCentres, proofs).as(Frame.Hello::new),
+                Combinators.combine(counts, hosts, dataCentres, proofs, proofs).as(Frame.Challenge::new),
+                proofs.map(Frame.Proof::new),
+                Combinators.combine(ids, calls).as(Frame.CallStart::new),
+                Combinators.combine(ids, payloads).as(Frame.Body::new),
+                ids.map(Frame.BodyEnd::new),
+                Combinators.combine(ids, answers).as(Frame.AnswerStart::new),
+                Combinators.combine(ids, payloads).as(Frame.AnswerBody::new),
+                Combinators.combine(ids, trailers).as(Frame.AnswerEnd::new),
+                Combinators.combine(ids, failures, trailers).as(Frame.Refused::new),
+                Combinators.combine(ids, Arbitraries.integers().between(1, Frame.WINDOW_BYTES))
+                        .as(Frame.Window::new),
+                Combinators.combine(ids, texts).as(Frame.Cancel::new),
+                Combinators.combine(ids, Arbitraries.of(Topic.class), payloads).as(Frame.Ask::new),
+                Combinators.combine(ids, payloads).as(Frame.Reply::new),
+                Combinators.combine(ids, failures).as(Frame.AskFailed::new),
+                Arbitraries.longs().map(Frame.Ping::new),
+                Arbitraries.longs().map(Frame.Pong::new),
+                texts.map(Frame.GoAway::new));
+    }
+
+    /** Text with unpaired surrogates has no UTF-8 form. */
+    private static String withoutSurrogates(String text) {
+        return text.replaceAll("[\\uD800-\\uDFFF]", "");
+    }
+}
--- /dev/null
+++ b/sequoianotch-protocol/src/test/java/org/sequoianotch/protocol/link/LinkFailureTest.java
@@ -0,0 +1,412 @@
+package org.sequoianotch.protocol.link;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import com.google.common.collect.Range;
+import io.vavr.control.Either;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.sequoianotch.error.ErrorKind;
+import org.sequoianotch.error.Failure;
+import org.sequoianotch.protocol.Frame;
+import org.sequoianotch.protocol.FrameCodec;
+import org.sequoianotch.protocol.Topic;
+import org.sequoianotch.time.SystemClock;
+
+@Timeout(30)
+class LinkFailureTest {
+    private static final CallHandler UNUSED = call -> {
+        throw new IllegalStateException("No call should arrive");
+    };
+
+    /** Guards against nodes that serve, or send calls to, a peer without the deployment key. */
+    @Test
+    void wrongKeyIsRefusedByCaller() throws Exception {
+        try (Peers peers = new Peers(
+                UNUSED, Peers.options("caller", "another key", null), Peers.options("callee", Peers.KEY, null))) {
+            Failure failure =
+                    peers.links.open(peers.address, Peers.header("/a")).getLeft();
+            assertThat(failure.kind()).isEqualTo(ErrorKind.NO_INSTANCE);
+            assertThat(failure.detail()).contains("does not hold the deployment key");
+            assertThat(peers.callerCounters.refusedHandshakes()).isEqualTo(1);
+            Peers.await(() -> peers.calleeCounters.refusedHandshakes() == 1);
+        }
+    }
+
+    /** Guards against a connecting side that skips its own check, replays or guesses. */
+    @Test
+    void wrongKeyIsRefusedByCallee() throws Exception {
+        try (Peers peers = new Peers(UNUSED);
+                RawPeer raw = RawPeer.connect(peers.address)) {
+            raw.helloAndProof("another key").send(new Frame.CallStart(1, Peers.header("/a")));
+            raw.awaitClose();
+            assertThat(peers.calleeCounters.refusedHandshakes()).isEqualTo(1);
+            assertThat(peers.calleeCounters.opened()).isEqualTo(0);
+        }
+    }
+
+    /** Guards against calls that are taken before the handshake, and against other versions. */
+    @ParameterizedTest
+    @MethodSource("badFirstFrames")
+    void badFirstFrameIsRefused(Frame frame) throws Exception {
+        try (Peers peers = new Peers(UNUSED);
+                RawPeer raw = RawPeer.connect(peers.address)) {
+            raw.send(frame);
+            raw.awaitClose();
+            assertThat(peers.calleeCounters.refusedHandshakes()).isEqualTo(1);
+        }
+    }
+
+    static List<Frame> badFirstFrames() {
+        LinkOptions options = Peers.options("x", "k", null);
+        return List.of(
+                new Frame.CallStart(1, Peers.header("/a")),
+                new Frame.Ping(1),
+                new Frame.Hello(2, options.host(), options.dataCentre(), new byte[Frame.PROOF_BYTES]));
+    }
+
+    /** Guards against garbage that stops the node, or that goes unreported. */
+    @ParameterizedTest
+    @CsvSource({"false, -1", "false, 262145", "false, 0", "true, 5", "true, -5", "true, 2000000000"})
+    void garbageClosesOnlyItsLink(boolean afterHandshake, int length) throws Exception {
+        try (Peers peers = new Peers(Peers::echo);
+                RawPeer raw = RawPeer.connect(peers.address)) {
+            if (afterHandshake) {
+                raw.helloAndProof(Peers.KEY);
+                Peers.await(() -> peers.calleeCounters.opened() == 1);
+            }
+            raw.sendRaw(length, new byte[] {(byte) 0xc1, 1, 2, 3, 4});
+            raw.awaitClose();
+            Peers.await(() -> peers.calleeCounters.malformedFrames() == 1);
+            PeerCall call = peers.open("/a");
+            call.endBody();
+            assertThat(Peers.answerOf(call).isRight()).isTrue();
+        }
+    }
+
+    /** Guards against peers that fill the memory, reuse call ids or send frames of the other direction. */
+    @ParameterizedTest
+    @MethodSource("violations")
+    void violationClosesLink(List<Frame> frames) throws Exception {
+        CountDownLatch cancelled = new CountDownLatch(1);
+        CountDownLatch release = new CountDownLatch(1);
+        CallHandler handler = call -> {
+            call.onCancel(cancelled::countDown);
+            awaitLatch(release);
+            call.refuse(Failure.of(ErrorKind.OVERLOADED, ""), Peers.TRAILER);
+        };
+        try (Peers peers = new Peers(handler);
+                RawPeer raw = RawPeer.connect(peers.address)) {
+            raw.helloAndProof(Peers.KEY).send(new Frame.CallStart(5, Peers.header("/a")));
+            for (Frame frame : frames) {
+                raw.send(frame);
+            }
+            raw.awaitClose();
+            assertThat(cancelled.await(Peers.WAIT_MS, TimeUnit.MILLISECONDS)).isTrue();
+            assertThat(peers.calleeCounters.malformedFrames()).isEqualTo(1);
+            release.countDown();
+        }
+    }
+
+    static List<List<Frame>> violations() {
+        Frame chunk = new Frame.Body(5, new byte[Frame.MAX_CHUNK_BYTES]);
+        return List.of(
+                List.of(chunk, chunk, chunk, chunk, new Frame.Body(5, new byte[1])),
+                List.of(new Frame.BodyEnd(5), chunk),
+                List.of(new Frame.BodyEnd(5), new Frame.BodyEnd(5)),
+                List.of(new Frame.CallStart(5, Peers.header("/b"))),
+                List.of(new Frame.CallStart(4, Peers.header("/b"))),
+                List.of(new Frame.Window(5, 1)),
+                List.of(new Frame.AnswerStart(5, Peers.OK)),
+                List.of(new Frame.Reply(1, new byte[0])),
+                List.of(new Frame.Proof(new byte[Frame.PROOF_BYTES])));
+    }
+
+    /** Guards against frames of ended calls that are taken for another call or close the link. */
+    @Test
+    void framesOfUnknownCallsAreDropped() throws Exception {
+        try (Peers peers = new Peers(Peers::echo);
+                RawPeer raw = RawPeer.connect(peers.address)) {
+            raw.helloAndProof(Peers.KEY);
+            raw.send(new Frame.Body(7, new byte[1]));
+            raw.send(new Frame.BodyEnd(7));
+            raw.send(new Frame.Cancel(7, "x"));
+            raw.send(new Frame.Window(7, 1));
+            raw.send(new Frame.CallStart(8, Peers.header("/a")));
+            raw.send(new Frame.BodyEnd(8));
+            raw.receive(Frame.AnswerEnd.class);
+            assertThat(peers.calleeCounters.unknownCallFrames()).isEqualTo(4);
+        }
+    }
+
+    /** Guards against a killed peer whose calls are reported as complete or as not run (R3, R4). */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void peerKilledInMidAnswerLeavesCallInDoubt(boolean afterHead) throws Exception {
+        try (Peers peers = new Peers(UNUSED);
+                ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+                var executor = Executors.newVirtualThreadPerTaskExecutor()) {
+            String address = "127.0.0.1:" + server.getLocalPort();
+            Future<Either<Failure, byte[]>> answer = executor.submit(() ->
+                    Peers.answerOf(peers.links.open(address, Peers.header("/a")).get()));
+            Future<Either<Failure, byte[]>> reply =
+                    executor.submit(() -> peers.links.ask(address, Topic.CONTROL, new byte[1], Peers.WAIT_MS));
+            try (RawPeer raw = RawPeer.accept(server).challenge(Peers.KEY)) {
+                long callId = raw.receive(Frame.CallStart.class).callId();
+                if (afterHead) {
+                    raw.send(new Frame.AnswerStart(callId, Peers.OK));
+                    raw.send(new Frame.AnswerBody(callId, new byte[10]));
+                }
+                // The question may have come before the call; a wrong one shows that it was received.
+                raw.send(new Frame.Reply(99, new byte[0]));
+                Peers.await(() -> peers.callerCounters.unknownCallFrames() == 1);
+            }
+            assertThat(answer.get().getLeft().kind()).isEqualTo(ErrorKind.CONNECTION_LOST);
+            assertThat(reply.get().getLeft().provesNotRun()).isFalse();
+            Peers.await(() -> peers.callerCounters.lost() == 1);
+        }
+    }
+
+    /** Guards against an answer that came whole and is reported as lost because its link ends right after. */
+    @Test
+    void wholeAnswerOutlivesItsLink() throws Exception {
+        try (Peers peers = new Peers(UNUSED);
+                ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+                var executor = Executors.newVirtualThreadPerTaskExecutor()) {
+            String address = "127.0.0.1:" + server.getLocalPort();
+            Future<PeerCall> opened = executor.submit(
+                    () -> peers.links.open(address, Peers.header("/a")).get());
+            try (RawPeer raw = RawPeer.accept(server).challenge(Peers.KEY)) {
+                long callId = raw.receive(Frame.CallStart.class).callId();
+                raw.send(new Frame.AnswerStart(callId, Peers.OK));
+                raw.send(new Frame.AnswerBody(callId, new byte[10]));
+                raw.send(new Frame.AnswerEnd(callId, Peers.TRAILER));
+            }
+            Peers.await(() -> peers.callerCounters.lost() == 1);
+            assertThat(Peers.answerOf(opened.get()).get()).hasLength(10);
+        }
+    }
+
+    /** Guards against links that went silent for good and hold their calls, while new connections work. */
+    @Test
+    void silentLinkIsFoundAndReplaced() throws Exception {
+        try (Peers peers = new Peers(UNUSED);
+                ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+                var executor = Executors.newVirtualThreadPerTaskExecutor()) {
+            String address = "127.0.0.1:" + server.getLocalPort();
+            Future<PeerCall> opened = executor.submit(
+                    () -> peers.links.open(address, Peers.header("/a")).get());
+            try (RawPeer silent = RawPeer.accept(server).challenge(Peers.KEY)) {
+                double startMs = SystemClock.INSTANCE.monotonicMs();
+                Failure failure = Peers.answerOf(opened.get()).getLeft();
+                double foundMs = SystemClock.INSTANCE.monotonicMs() - startMs;
+                assertThat(failure.kind()).isEqualTo(ErrorKind.CONNECTION_LOST);
+                assertThat(failure.detail()).contains("nothing arrived for " + Peers.SILENCE_TIMEOUT_MS + " ms");
+                assertThat(foundMs).isLessThan(4.0 * Peers.SILENCE_TIMEOUT_MS);
+                silent.awaitClose();
+            }
+            Future<PeerCall> again = executor.submit(
+                    () -> peers.links.open(address, Peers.header("/b")).get());
+            try (RawPeer raw = RawPeer.accept(server).challenge(Peers.KEY)) {
+                assertThat(raw.receive(Frame.CallStart.class).header().path()).isEqualTo("/b");
+                again.get().cancel("the test ends");
+            }
+            assertThat(peers.callerCounters.silent()).isEqualTo(1);
+        }
+    }
+
+    /** Guards against heartbeats that do not keep an idle link alive, or that cost more than a few bytes. */
+    @Test
+    void heartbeatsKeepIdleLink() throws Exception {
+        try (Peers peers = new Peers(Peers::echo)) {
+            peers.open("/a").endBody();
+            double startMs = SystemClock.INSTANCE.monotonicMs();
+            Peers.await(() -> SystemClock.INSTANCE.monotonicMs() - startMs > 2.5 * Peers.SILENCE_TIMEOUT_MS);
+            assertThat(peers.callerCounters.lost() + peers.calleeCounters.lost())
+                    .isEqualTo(0);
+            long pairs = (long) (SystemClock.INSTANCE.monotonicMs() - startMs) / 50 + 2;
+            assertThat(peers.callerCounters.heartbeatBytes()).isIn(Range.closed(14L, 14 * pairs));
+            assertThat(peers.callerCounters.bytesSent()).isGreaterThan(0);
+            assertThat(peers.callerCounters.bytesReceived()).isGreaterThan(0);
+        }
+    }
+
+    /** Guards against a leaving node that gets new calls (R6) or cuts open ones (R7). */
+    @Test
+    void goAwayRefusesNewCallsAndFinishesOpenOnes() throws Exception {
+        CountDownLatch release = new CountDownLatch(1);
+        CallHandler handler = call -> {
+            awaitLatch(release);
+            Peers.echo(call);
+        };
+        try (Peers peers = new Peers(handler);
+                RawPeer raw = RawPeer.connect(peers.address)) {
+            raw.helloAndProof(Peers.KEY);
+            PeerCall before = peers.open("/before");
+            Peers.await(() -> peers.listener.openCalls() == 1);
+            peers.links.attach(peers.listener);
+            peers.links.goAway("planned stop");
+            Peers.await(
+                    () -> peers.links.open(peers.address, Peers.header("/x")).isLeft());
+            Failure failure =
+                    peers.links.open(peers.address, Peers.header("/x")).getLeft();
+            assertThat(failure.kind()).isEqualTo(ErrorKind.DRAINING);
+
+            raw.receive(Frame.GoAway.class);
+            raw.send(new Frame.CallStart(1, Peers.header("/ignored-notice")));
+            Frame.Refused refused = raw.receive(Frame.Refused.class);
+            assertThat(refused.failure().kind()).isEqualTo(ErrorKind.DRAINING);
+            assertThat(refused.trailer().returnedRetries()).isEqualTo(2);
+
+            release.countDown();
+            before.endBody();
+            assertThat(Peers.answerOf(before).get()).isEqualTo("/before".getBytes());
+            peers.listener.close();
+            Peers.await(() -> peers.callerCounters.lost() == 1);
+        }
+    }
+
+    /** Guards against answers whose last bytes are dropped by the close that follows them (R7). */
+    @Test
+    void listenerSendsLastFramesBeforeClose() throws Exception {
+        byte[] body = new byte[60_000];
+        Arrays.fill(body, (byte) 7);
+        CountDownLatch served = new CountDownLatch(50);
+        CallHandler handler = call -> {
+            Peers.echo(call);
+            served.countDown();
+        };
+        try (Peers peers = new Peers(handler)) {
+            List<PeerCall> calls = new ArrayList<>();
+            for (int i = 0; i < 50; i++) {
+                PeerCall call = peers.open("/" + i);
+                call.writeBody(body);
+                call.endBody();
+                calls.add(call);
+            }
+            served.await();
+            peers.listener.close();
+            for (PeerCall call : calls) {
+                assertThat(Peers.answerOf(call).isRight()).isTrue();
+            }
+        }
+    }
+
+    /** Guards against several links with one peer, and failures to connect that do not prove not-run. */
+    @Test
+    void concurrentOpensShareOneLink() throws Exception {
+        try (Peers peers = new Peers(Peers::echo);
+                var executor = Executors.newVirtualThreadPerTaskExecutor()) {
+            List<Future<Either<Failure, byte[]>>> answers = new ArrayList<>();
+            for (int i = 0; i < 50; i++) {
+                answers.add(executor.submit(() -> {
+                    PeerCall call = peers.open("/a");
+                    call.endBody();
+                    return Peers.answerOf(call);
+                }));
+            }
+            for (Future<Either<Failure, byte[]>> answer : answers) {
+                assertThat(answer.get().isRight()).isTrue();
+            }
+            assertThat(peers.calleeCounters.opened()).isEqualTo(1);
+            peers.listener.close();
+            Peers.await(() -> peers.callerCounters.lost() == 1);
+            Failure failure =
+                    peers.links.open(peers.address, Peers.header("/a")).getLeft();
+            assertThat(failure.provesNotRun()).isTrue();
+        }
+    }
+
+    /** Guards against addresses that fail with anything but a clear refusal. */
+    @ParameterizedTest
+    @ValueSource(strings = {"", "nonsense", "127.0.0.1", "127.0.0.1:99999", "127.0.0.1:x", ":80"})
+    void badAddressIsReported(String address) {
+        try (Peers peers = new Peers(UNUSED)) {
+            Failure failure = peers.links.open(address, Peers.header("/a")).getLeft();
+            assertThat(failure.kind()).isEqualTo(ErrorKind.NO_INSTANCE);
+            assertThat(failure.detail()).contains("is not an IP number and a port");
+        }
+    }
+
+    /** Guards against TLS that is not used, or that accepts a certificate from elsewhere on either side. */
+    @ParameterizedTest
+    @CsvSource({"node, node, true", "node, stranger, false", "stranger, node, false", "node, , false", ", node, false"})
+    void tlsChecksBothSides(@Nullable String caller, @Nullable String callee, boolean works) throws Exception {
+        CallHandler handler = works ? Peers::echo : UNUSED;
+        try (Peers peers = new Peers(
+                handler,
+                Peers.options("caller", Peers.KEY, tls(caller)),
+                Peers.options("callee", Peers.KEY, tls(callee)))) {
+            Either<Failure, PeerCall> call = peers.links.open(peers.address, Peers.header("/a"));
+            if (works) {
+                call.get().writeBody(new byte[200_000]);
+                call.get().endBody();
+                assertThat(Peers.answerOf(call.get()).get()).hasLength(200_002);
+                assertThat(peers.callerCounters.bytesSent()).isGreaterThan(200_000L);
+            } else {
+                assertThat(call.getLeft().kind()).isEqualTo(ErrorKind.NO_INSTANCE);
+                assertThat(peers.callerCounters.refusedHandshakes()).isEqualTo(1);
+            }
+        }
+    }
+
+    /** Guards against wrong TLS files that are found only when the first peer connects. */
+    @Test
+    void unusableTlsFilesAreReportedAtStart() {
+        LinkOptions options =
+                Peers.options("caller", Peers.KEY, new TlsOptions(file("no.pem"), file("no.key"), file("x")));
+        try (Transport transport = Transport.create(1)) {
+            IllegalArgumentException e = assertThrows(
+                    IllegalArgumentException.class,
+                    () -> new PeerLinks(options, transport, SystemClock.INSTANCE, new LinkCounters()));
+            assertThat(e).hasMessageThat().contains("no.pem");
+        }
+    }
+
+    /** Guards against a reading limit that never turns reading on again: many frames for calls that nobody has open. */
+    @Test
+    void fullQueueIsDrained() throws Exception {
+        int count = 200;
+        try (Peers peers = new Peers(Peers::echo);
+                RawPeer raw = RawPeer.connect(peers.address)) {
+            raw.helloAndProof(Peers.KEY);
+            byte[] frame = FrameCodec.encode(new Frame.Body(9, new byte[Frame.MAX_CHUNK_BYTES]));
+            for (int i = 0; i < count; i++) {
+                raw.sendRaw(frame.length, frame);
+            }
+            Peers.await(() -> peers.calleeCounters.unknownCallFrames() == count);
+        }
+    }
+
+    private static @Nullable TlsOptions tls(@Nullable String name) {
+        return name == null ? null : new TlsOptions(file(name + ".pem"), file(name + ".key"), file("trust.pem"));
+    }
+
+    private static Path file(String name) {
+        return Path.of("src/test/resources/tls", name);
+    }
+
+    private static void awaitLatch(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+}
--- a/sequoianotch-protocol/src/test/java/org/sequoianotch/protocol/link/Peers.java
+++ b/sequoianotch-protocol/src/test/java/org/sequoianotch/protocol/link/Peers.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeoutException;
 import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
 import org.sequoianotch.error.Failure;
 import org.sequoianotch.model.Criticality;
@@ -80,7 +81,7 @@
         return call.awaitAnswer(WAIT_MS).flatMap(head -> readAll(() -> call.readAnswerBody(WAIT_MS)));
     }
 
-    static Either<Failure, byte[]> readAll(java.util.function.Supplier<Either<Failure, Optional<byte[]>>> read) {
+    static Either<Failure, byte[]> readAll(Supplier<Either<Failure, Optional<byte[]>>> read) {
         ByteArrayOutputStream all = new ByteArrayOutputStream();
         while (true) {
             Either<Failure, Optional<byte[]>> part = read.get();
