Read what arrived during a pause before a link counts as silent

After a pause of its own process a node closed links whose peers were alive: the silence check ran before the bytes in the socket were read.

--- a/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/link/FrameChannel.java
+++ b/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/link/FrameChannel.java
@@ -60,6 +60,7 @@
     private final AtomicReference<@Nullable String> closeReason = new AtomicReference<>();
     private volatile boolean paused;
     private volatile boolean established;
+    private boolean suspected;
     private long pings;
 
     private FrameChannel(Channel channel, ByteMeter meter, Clock clock, LinkCounters counters) {
@@ -255,10 +256,15 @@
             return;
         }
         double leftMs = options.silenceTimeoutMs() - (clock.monotonicMs() - meter.lastReceivedMs());
-        if (leftMs <= 0) {
+        if (leftMs <= 0 && !suspected) {
+            // After a pause of this process, the bytes that arrived meanwhile are read before the second look.
+            suspected = true;
+            channel.eventLoop().schedule(() -> checkSilence(options), 1, TimeUnit.MILLISECONDS);
+        } else if (leftMs <= 0) {
             counters.countSilent();
             close("nothing arrived for " + options.silenceTimeoutMs() + " ms");
         } else {
+            suspected = false;
             channel.eventLoop().schedule(() -> checkSilence(options), (long) Math.ceil(leftMs), TimeUnit.MILLISECONDS);
         }
     }
