--- a/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/link/FrameChannel.java
+++ b/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/link/FrameChannel.java
@@ -60,6 +60,7 @@
     private final AtomicReference<@Nullable String> closeReason = new AtomicReference<>();
     private volatile boolean paused;
     private volatile boolean established;
+    private boolean suspected;
     private long pings;
 
     private FrameChannel(Channel channel, ByteMeter meter, Clock clock, LinkCounters counters) {
@@ -158,7 +159,7 @@
     /** Why the connection ended. */
     String reason() {
         String reason = closeReason.get();
-        return reason == null ? "the peer closed the connection" : reason;
+        return reason == null ? "it is still open" : reason;
     }
 
     String remoteAddress() {
@@ -207,6 +208,7 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
+        closeReason.compareAndSet(null, "the peer closed the connection");
         queue.add(END);
         context.fireChannelInactive();
     }
@@ -221,6 +223,9 @@
     }
 
     private void malformed(String detail) {
+        if (closeReason.get() != null) {
+            return;
+        }
         counters.countMalformedFrame();
         LOG.warn("[peer] Closing the connection with {} after a malformed frame: {}", remoteAddress(), detail);
         close("malformed frame: " + detail);
@@ -251,10 +256,15 @@
             return;
         }
         double leftMs = options.silenceTimeoutMs() - (clock.monotonicMs() - meter.lastReceivedMs());
-        if (leftMs <= 0) {
+        if (leftMs <= 0 && !suspected) {
+            // After a pause of this process, the bytes that arrived meanwhile are read before the second look.
+            suspected = true;
+            channel.eventLoop().schedule(() -> checkSilence(options), 1, TimeUnit.MILLISECONDS);
+        } else if (leftMs <= 0) {
             counters.countSilent();
             close("nothing arrived for " + options.silenceTimeoutMs() + " ms");
         } else {
+            suspected = false;
             channel.eventLoop().schedule(() -> checkSilence(options), (long) Math.ceil(leftMs), TimeUnit.MILLISECONDS);
         }
     }
