Queue news by transmission count, build views lazily, and add the membership tests

At 630 simulated members, sorting the news for each datagram and building the view for each change took most of the time. After a large change, the next comparison inside the data centre comes sooner.

--- a/sequoianotch-membership/src/main/java/org/sequoianotch/membership/DatagramSender.java
+++ b/sequoianotch-membership/src/main/java/org/sequoianotch/membership/DatagramSender.java
@@ -13,7 +13,7 @@
     /** Keeps a storm of changes below the traffic budget of 4 KB/s for each node. */
     private static final double GOSSIP_BYTES_PER_MS = 2.5;
 
-    private static final double GOSSIP_BURST_BYTES = 32_768;
+    private static final double GOSSIP_BURST_BYTES = 65_536;
 
     private final MemberTable table;
     private final MembershipOptions options;
@@ -105,7 +105,7 @@
             revisionRounds = REVISION_ROUNDS;
         }
         revisionRounds = Math.max(0, revisionRounds - 1);
-        for (Member to : table.sample(table.peersIn(options.dataCentre()), FANOUT)) {
+        for (Member to : table.sample(table.localPeers(), FANOUT)) {
             if (allowanceBytes < DatagramCodec.MAX_BYTES) {
                 return;
             }
--- a/sequoianotch-membership/src/main/java/org/sequoianotch/membership/Exchanger.java
+++ b/sequoianotch-membership/src/main/java/org/sequoianotch/membership/Exchanger.java
@@ -23,6 +23,7 @@
 import org.sequoianotch.model.HostId;
 import org.sequoianotch.protocol.Topic;
 import org.sequoianotch.protocol.link.Asker;
+import org.sequoianotch.time.Clock;
 
 /**
  * Exchanges of member states over links: joining, comparison by digests, and forwarding to other data centres.
@@ -43,10 +44,14 @@
     /** Failed exchanges after which any member of the data centre is tried, not only its contacts. */
     private static final int FAILURES_BEFORE_ANY = 2;
 
+    /** Differences found in one exchange after which the next local one comes sooner. */
+    private static final int MANY_DIFFERENCES = 10;
+
     private static final int MAX_UNKNOWN_SENDERS = 16;
 
     private final MemberTable table;
     private final MembershipOptions options;
+    private final Clock clock;
     private final RandomGenerator random;
     private final Asker asker;
     private final MembershipCounters counters;
@@ -63,17 +68,19 @@
     Exchanger(
             MemberTable table,
             MembershipOptions options,
+            Clock clock,
             RandomGenerator random,
             Asker asker,
             MembershipCounters counters,
-            Runnable afterMerge,
-            double nowMs) {
+            Runnable afterMerge) {
         this.table = table;
         this.options = options;
+        this.clock = clock;
         this.random = random;
         this.asker = asker;
         this.counters = counters;
         this.afterMerge = afterMerge;
+        double nowMs = clock.monotonicMs();
         nextSeedsAtMs = nowMs;
         nextExchangeAtMs = nowMs + random.nextDouble() * options.exchangeIntervalMs();
         nextLocalAtMs = nowMs + random.nextDouble() * options.exchangeIntervalMs() * LOCAL_INTERVALS;
@@ -89,13 +96,11 @@
         unknownSenders.clear();
         if (nowMs >= nextLocalAtMs) {
             nextLocalAtMs = nowMs + (double) options.exchangeIntervalMs() * LOCAL_INTERVALS;
-            table.sample(table.peersIn(options.dataCentre()), 1)
-                    .forEach(member -> addExchange(work, member.peerAddress(), null));
+            table.sample(table.localPeers(), 1).forEach(member -> addExchange(work, member.peerAddress(), null));
         }
-        boolean isContact = table.isAmongLowest(CONTACTS);
         if (nowMs >= nextExchangeAtMs) {
             nextExchangeAtMs = nowMs + options.exchangeIntervalMs();
-            if (isContact) {
+            if (table.isAmongLowest(CONTACTS)) {
                 for (DataCentre dataCentre : otherDataCentres()) {
                     contacts(dataCentre, 1).forEach(member -> addExchange(work, member.peerAddress(), dataCentre));
                 }
@@ -103,7 +108,7 @@
         }
         if (table.hasForwards() && nowMs >= nextForwardAtMs) {
             nextForwardAtMs = nowMs + FORWARD_GAP_MS;
-            addForwards(work, isContact);
+            addForwards(work);
         }
         return work;
     }
@@ -148,9 +153,9 @@
         }
     }
 
-    private void addForwards(List<Runnable> work, boolean isContact) {
+    private void addForwards(List<Runnable> work) {
         List<byte[]> news = table.takeForwards();
-        if (!isContact) {
+        if (!table.isAmongLowest(CONTACTS)) {
             return;
         }
         for (DataCentre dataCentre : otherDataCentres()) {
@@ -178,6 +183,9 @@
         synchronized (table) {
             inFlight.remove(address);
             joined |= result.isRight();
+            if (result.getOrElse(0) >= MANY_DIFFERENCES) {
+                hurryNextLocal();
+            }
             if (dataCentre != null) {
                 failures.compute(dataCentre, (key, count) -> result.isRight() ? 0 : (count == null ? 1 : count + 1));
             }
@@ -188,6 +196,11 @@
         });
     }
 
+    /** After a large change, gossip alone would take long within its allowance. */
+    private void hurryNextLocal() {
+        nextLocalAtMs = Math.min(nextLocalAtMs, clock.monotonicMs() + options.exchangeIntervalMs());
+    }
+
     private Either<Failure, Integer> compare(String address) {
         ExchangeCodec.Question question;
         synchronized (table) {
--- a/sequoianotch-membership/src/main/java/org/sequoianotch/membership/FailureDetector.java
+++ b/sequoianotch-membership/src/main/java/org/sequoianotch/membership/FailureDetector.java
@@ -132,7 +132,7 @@
 
     private @Nullable Member nextTarget() {
         if (order.isEmpty()) {
-            List<Member> peers = table.peersIn(options.dataCentre());
+            List<Member> peers = table.localPeers();
             table.sample(peers, peers.size()).forEach(member -> order.add(member.host()));
         }
         while (!order.isEmpty()) {
@@ -157,7 +157,7 @@
         if (target == null) {
             return;
         }
-        List<Member> helpers = new ArrayList<>(table.peersIn(options.dataCentre()));
+        List<Member> helpers = new ArrayList<>(table.localPeers());
         helpers.removeIf(member -> member.host().equals(current.target));
         for (Member helper : table.sample(helpers, INDIRECT_PROBES)) {
             sender.send(
@@ -195,12 +195,12 @@
 
     private void failSuspects(double nowMs) {
         List<HostId> expired = new ArrayList<>();
-        for (MemberTable.Entry entry : table.entries()) {
-            double sinceMs = Math.max(entry.suspectedAtMs, suspicionPauseMs);
-            if (entry.member.state() == MemberState.SUSPECT
-                    && table.isLocal(entry.member)
-                    && nowMs >= sinceMs + scaled(options.suspicionTimeoutMs())) {
-                expired.add(entry.member.host());
+        for (Member member : table.localPeers()) {
+            if (member.state() == MemberState.SUSPECT
+                    && nowMs
+                            >= Math.max(table.suspectedAtMs(member.host()), suspicionPauseMs)
+                                    + scaled(options.suspicionTimeoutMs())) {
+                expired.add(member.host());
             }
         }
         for (HostId host : expired) {
--- a/sequoianotch-membership/src/main/java/org/sequoianotch/membership/MemberTable.java
+++ b/sequoianotch-membership/src/main/java/org/sequoianotch/membership/MemberTable.java
@@ -2,11 +2,8 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
-import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import java.util.SortedMap;
 import java.util.TreeMap;
@@ -34,7 +31,8 @@
     private final RandomGenerator random;
     private final MembershipCounters counters;
     private final SortedMap<HostId, Entry> entries = new TreeMap<>();
-    private final Map<HostId, Integer> transmissions = new HashMap<>();
+    private final NewsQueue news = new NewsQueue();
+    private @Nullable List<Member> localPeers;
     private final Set<HostId> changed = new LinkedHashSet<>();
     private final Set<HostId> toForward = new LinkedHashSet<>();
     private final List<HostId> joined = new ArrayList<>();
@@ -98,7 +96,7 @@
     void setRevision(long revision) {
         if (revision > self.configurationRevision()) {
             self = self.withConfigurationRevision(revision);
-            entries.put(self.host(), new Entry(self, 0));
+            store(new Entry(self, 0));
             changed.add(self.host());
         }
         noteRevision(revision);
@@ -115,33 +113,33 @@
     void noteMemberRevision(HostId host, long revision) {
         Entry entry = entries.get(host);
         if (entry != null && !host.equals(self.host()) && entry.member.configurationRevision() < revision) {
-            entries.put(host, new Entry(entry.member.withConfigurationRevision(revision), entry.suspectedAtMs));
+            store(new Entry(entry.member.withConfigurationRevision(revision), entry.suspectedAtMs));
             changed.add(host);
         }
     }
 
-    void mergeAll(Collection<Member> news) {
-        news.forEach(this::merge);
+    void mergeAll(Collection<Member> members) {
+        members.forEach(this::merge);
     }
 
-    private void merge(Member news) {
-        if (news.host().equals(self.host())) {
-            mergeSelf(news);
+    private void merge(Member incoming) {
+        if (incoming.host().equals(self.host())) {
+            mergeSelf(incoming);
             return;
         }
-        Entry entry = entries.get(news.host());
+        Entry entry = entries.get(incoming.host());
         if (entry == null) {
-            if (!isForgotten(news)) {
-                put(news);
+            if (!isForgotten(incoming)) {
+                put(incoming);
             }
             return;
         }
         Member known = entry.member;
-        Member merged = known.merge(softened(known, news));
+        Member merged = known.merge(softened(known, incoming));
         if (merged.isNewsFor(known)) {
             put(merged);
         } else if (!merged.equals(known)) {
-            entries.put(known.host(), new Entry(merged, entry.suspectedAtMs));
+            store(new Entry(merged, entry.suspectedAtMs));
             changed.add(known.host());
         }
     }
@@ -150,22 +148,22 @@
      * A loss reported about a member that is alive here becomes a suspicion first. After a partition, both sides have
      * declared each other failed; without this the merge would evict healthy members until they refuted.
      */
-    private Member softened(Member known, Member news) {
-        boolean sudden = news.state() == MemberState.FAILED
+    private Member softened(Member known, Member incoming) {
+        boolean sudden = incoming.state() == MemberState.FAILED
                 && known.state() == MemberState.ALIVE
-                && news.incarnation() >= known.incarnation()
-                && isLocal(news);
-        return sudden ? news.withState(MemberState.SUSPECT, clock.nowMs()) : news;
+                && incoming.incarnation() >= known.incarnation()
+                && isLocal(incoming);
+        return sudden ? incoming.withState(MemberState.SUSPECT, clock.nowMs()) : incoming;
     }
 
-    private void mergeSelf(Member news) {
-        boolean refutes = self.state() != MemberState.LEFT && news.isNewsFor(self);
+    private void mergeSelf(Member incoming) {
+        boolean refutes = self.state() != MemberState.LEFT && incoming.isNewsFor(self);
         if (refutes) {
-            if (news.state() != MemberState.ALIVE) {
+            if (incoming.state() != MemberState.ALIVE) {
                 counters.suspicionsRefuted.increment();
                 selfSuspicions++;
             }
-            replaceSelf(self.withIncarnation(news.incarnation() + 1, clock.nowMs()));
+            replaceSelf(self.withIncarnation(incoming.incarnation() + 1, clock.nowMs()));
         }
     }
 
@@ -194,8 +192,8 @@
         boolean stillSuspect = old != null
                 && old.member.state() == MemberState.SUSPECT
                 && old.member.incarnation() == member.incarnation();
-        entries.put(host, new Entry(member, stillSuspect ? old.suspectedAtMs : clock.monotonicMs()));
-        transmissions.put(host, 0);
+        store(new Entry(member, stillSuspect ? old.suspectedAtMs : clock.monotonicMs()));
+        news.add(host);
         changed.add(host);
         noteStateChange(old == null ? null : old.member, member);
         if (isLocal(member) && member.state() != MemberState.SUSPECT) {
@@ -203,6 +201,13 @@
         }
     }
 
+    private void store(Entry entry) {
+        entries.put(entry.member.host(), entry);
+        if (isLocal(entry.member)) {
+            localPeers = null;
+        }
+    }
+
     private void noteStateChange(@Nullable Member old, Member member) {
         if (old != null && old.state() == member.state() && old.incarnation() == member.incarnation()) {
             return;
@@ -238,6 +243,11 @@
         return member.dataCentre().equals(options.dataCentre());
     }
 
+    double suspectedAtMs(HostId host) {
+        Entry entry = entries.get(host);
+        return entry == null ? Double.POSITIVE_INFINITY : entry.suspectedAtMs;
+    }
+
     @Nullable
     Entry entry(HostId host) {
         return entries.get(host);
@@ -253,6 +263,16 @@
         return entries.values();
     }
 
+    /** Returns the reachable members of this data centre but this node, by host id. */
+    List<Member> localPeers() {
+        List<Member> peers = localPeers;
+        if (peers == null) {
+            peers = List.copyOf(peersIn(options.dataCentre()));
+            localPeers = peers;
+        }
+        return peers;
+    }
+
     /** Returns the reachable members of a data centre but this node, by host id. */
     List<Member> peersIn(DataCentre dataCentre) {
         List<Member> peers = new ArrayList<>();
@@ -308,10 +328,14 @@
     }
 
     boolean hasNews() {
-        return !transmissions.isEmpty();
+        return !news.isEmpty();
     }
 
-    /** Takes the news that was passed on least often, up to a size, and counts it as passed on once more. */
+    /**
+     * Takes the news that was passed on least often, up to a size, and counts it as passed on once more.
+     *
+     * @param first a host whose member comes first although it may be no news; or null
+     */
     List<byte[]> takeNews(int roomBytes, @Nullable HostId first) {
         List<byte[]> taken = new ArrayList<>();
         int room = roomBytes;
@@ -320,39 +344,21 @@
             taken.add(preferred.encoded);
             room -= preferred.encoded.length;
         }
-        if (transmissions.isEmpty()) {
-            return taken;
-        }
-        List<Map.Entry<HostId, Integer>> byCount = new ArrayList<>(transmissions.entrySet());
-        byCount.sort(Comparator.<Map.Entry<HostId, Integer>>comparingInt(Map.Entry::getValue)
-                .thenComparing(Map.Entry::getKey));
-        int limit = transmissionLimit();
-        for (Map.Entry<HostId, Integer> news : byCount) {
-            HostId host = news.getKey();
-            Entry entry = entries.get(host);
-            if (entry == null) {
-                transmissions.remove(host);
-                continue;
-            }
-            boolean repeated = host.equals(first);
-            if (!repeated && entry.encoded.length > room) {
-                continue;
-            }
-            if (!repeated) {
-                taken.add(entry.encoded);
-                room -= entry.encoded.length;
-            }
-            if (news.getValue() + 1 >= limit) {
-                transmissions.remove(host);
-            } else {
-                transmissions.put(host, news.getValue() + 1);
+        if (!news.isEmpty()) {
+            for (HostId host : news.take(room, transmissionLimit(), this::encodedLength)) {
+                taken.add(entries.get(host).encoded);
             }
         }
         return taken;
     }
 
+    private int encodedLength(HostId host) {
+        Entry entry = entries.get(host);
+        return entry == null ? -1 : entry.encoded.length;
+    }
+
     private int transmissionLimit() {
-        int group = peersIn(options.dataCentre()).size() + 1;
+        int group = localPeers().size() + 1;
         return RETRANSMIT_FACTOR * (int) Math.ceil(Math.log10(group + 1.0));
     }
 
--- a/sequoianotch-membership/src/main/java/org/sequoianotch/membership/Membership.java
+++ b/sequoianotch-membership/src/main/java/org/sequoianotch/membership/Membership.java
@@ -78,7 +78,7 @@
         table = new MemberTable(options, clock, random, counters);
         sender = new DatagramSender(table, options, clock, transport, codec, counters);
         detector = new FailureDetector(table, options, random, sender, counters, nowMs);
-        exchanger = new Exchanger(table, options, random, asker, counters, this::deliver, nowMs);
+        exchanger = new Exchanger(table, options, clock, random, asker, counters, this::deliver);
         nextMaintenanceAtMs = nowMs + MAINTENANCE_INTERVAL_MS;
         view = table.view();
     }
@@ -216,7 +216,7 @@
 
     boolean hasPassedNewsOn() {
         synchronized (table) {
-            boolean alone = table.peersIn(options.dataCentre()).isEmpty();
+            boolean alone = table.localPeers().isEmpty();
             return (alone || sender.isQuiet()) && !table.hasForwards();
         }
     }
--- a/sequoianotch-membership/src/main/java/org/sequoianotch/membership/MembershipView.java
+++ b/sequoianotch-membership/src/main/java/org/sequoianotch/membership/MembershipView.java
@@ -2,14 +2,14 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.SortedMap;
-import java.util.TreeMap;
+import org.jspecify.annotations.Nullable;
 import org.sequoianotch.model.DataCentre;
 import org.sequoianotch.model.HostId;
 import org.sequoianotch.model.Instance;
@@ -21,16 +21,30 @@
  * <p>This type is immutable. Lists are in the order of the host ids.
  */
 public final class MembershipView {
-    private final SortedMap<HostId, Member> members = new TreeMap<>();
-    private final SortedMap<DataCentre, List<Member>> byDataCentre = new TreeMap<>();
-    private final Map<ServiceName, List<Instance>> byService = new HashMap<>();
-    private final Map<MemberState, Integer> counts = new EnumMap<>(MemberState.class);
+    private final List<Member> members;
     private final long highestConfigurationRevision;
+    /** Built by the first query that needs it; building it twice gives equal results. */
+    private volatile @Nullable Index index;
 
-    private MembershipView(Collection<Member> known, long highestConfigurationRevision) {
+    private MembershipView(List<Member> members, long highestConfigurationRevision) {
+        this.members = members;
         this.highestConfigurationRevision = highestConfigurationRevision;
-        known.forEach(member -> members.put(member.host(), member));
-        for (Member member : members.values()) {
+    }
+
+    private static final class Index {
+        final Map<HostId, Member> byHost = new HashMap<>();
+        final Map<DataCentre, List<Member>> byDataCentre = new HashMap<>();
+        final Map<ServiceName, List<Instance>> byService = new HashMap<>();
+        final Map<MemberState, Integer> counts = new EnumMap<>(MemberState.class);
+
+        Index(List<Member> members) {
+            members.forEach(this::add);
+            byDataCentre.replaceAll((key, list) -> List.copyOf(list));
+            byService.replaceAll((key, list) -> List.copyOf(list));
+        }
+
+        private void add(Member member) {
+            byHost.put(member.host(), member);
             counts.merge(member.state(), 1, Integer::sum);
             byDataCentre
                     .computeIfAbsent(member.dataCentre(), key -> new ArrayList<>())
@@ -43,8 +57,15 @@
                                 .add(instance));
             }
         }
-        byDataCentre.replaceAll((key, list) -> List.copyOf(list));
-        byService.replaceAll((key, list) -> List.copyOf(list));
+    }
+
+    private Index index() {
+        Index built = index;
+        if (built == null) {
+            built = new Index(members);
+            index = built;
+        }
+        return built;
     }
 
     /**
@@ -55,7 +76,8 @@
      * @return the view, never null
      */
     public static MembershipView of(Collection<Member> members, long highestConfigurationRevision) {
-        return new MembershipView(members, highestConfigurationRevision);
+        return new MembershipView(
+                members.stream().sorted(Comparator.comparing(Member::host)).toList(), highestConfigurationRevision);
     }
 
     /**
@@ -64,7 +86,7 @@
      * @return the members, never null
      */
     public List<Member> members() {
-        return List.copyOf(members.values());
+        return members;
     }
 
     /**
@@ -74,7 +96,7 @@
      * @return the member, or empty if the host is not known
      */
     public Optional<Member> member(HostId host) {
-        return Optional.ofNullable(members.get(host));
+        return Optional.ofNullable(index().byHost.get(host));
     }
 
     /**
@@ -84,7 +106,7 @@
      * @return the members, never null, empty if the data centre is not known
      */
     public List<Member> membersOf(DataCentre dataCentre) {
-        return byDataCentre.getOrDefault(dataCentre, List.of());
+        return index().byDataCentre.getOrDefault(dataCentre, List.of());
     }
 
     /**
@@ -93,7 +115,7 @@
      * @return the data centres, never null
      */
     public Set<DataCentre> dataCentres() {
-        return Set.copyOf(byDataCentre.keySet());
+        return Set.copyOf(index().byDataCentre.keySet());
     }
 
     /**
@@ -104,7 +126,7 @@
      * @return the instances, never null, may be empty
      */
     public List<Instance> instancesOf(ServiceName service) {
-        return byService.getOrDefault(service, List.of());
+        return index().byService.getOrDefault(service, List.of());
     }
 
     /**
@@ -113,7 +135,7 @@
      * @return the services, never null
      */
     public Set<ServiceName> services() {
-        return Set.copyOf(byService.keySet());
+        return Set.copyOf(index().byService.keySet());
     }
 
     /**
@@ -123,7 +145,7 @@
      * @return the number of members, never negative
      */
     public int count(MemberState state) {
-        return counts.getOrDefault(state, 0);
+        return index().counts.getOrDefault(state, 0);
     }
 
     /**
--- /dev/null
+++ b/sequoianotch-membership/src/test/java/org/sequoianotch/membership/DataCentresTest.java
@@ -0,0 +1,95 @@
+package org.sequoianotch.membership;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import org.junit.jupiter.api.Test;
+import org.sequoianotch.model.BackendState;
+import org.sequoianotch.model.ServiceName;
+
+/** Guards the exchange between data centres. */
+class DataCentresTest {
+    private static final ServiceName SPECDESK = ServiceName.of("specdesk");
+    /** Budget for each node at 630 nodes. */
+    private static final double BUDGET_BYTES_PER_S = 4_000;
+
+    private static Simulation group(int dataCentres, int membersEach, long seed) {
+        Simulation simulation = new Simulation(seed);
+        simulation.addAll(dataCentres, membersEach);
+        int all = dataCentres * membersEach;
+        double joinedMs = simulation.runUntilAll(30_000, node -> node.view().count(MemberState.ALIVE) == all);
+        assertThat(joinedMs).isLessThan(30_000.0);
+        simulation.running().forEach(node -> node.announce(BackendState.SERVING));
+        double servingMs = simulation.runUntilAll(
+                30_000, node -> node.view().instancesOf(SPECDESK).size() == all);
+        assertThat(servingMs).isLessThan(30_000.0);
+        simulation.run(5_000);
+        return simulation;
+    }
+
+    /** Guards R6 across data centres at the target size: all 630 nodes know of a drain within 3 s. */
+    @Test
+    void drainIsKnownEverywhereWithinThreeSeconds() {
+        Simulation simulation = group(7, 90, 1);
+        simulation.node("dc4-h070").announce(BackendState.DRAINING);
+        double knownMs = simulation.runUntilAll(
+                10_000, node -> node.view().instancesOf(SPECDESK).size() == 629);
+        assertThat(knownMs).isLessThan(3_000.0);
+        simulation.run(5_000);
+        long[] before =
+                simulation.running().stream().mapToLong(DataCentresTest::bytes).toArray();
+        simulation.run(20_000);
+        long[] after =
+                simulation.running().stream().mapToLong(DataCentresTest::bytes).toArray();
+        for (int i = 0; i < after.length; i++) {
+            assertThat((after[i] - before[i]) / 20.0).isLessThan(BUDGET_BYTES_PER_S);
+        }
+    }
+
+    /** Guards against a data centre that goes out of sight when the nodes that exchange are lost. */
+    @Test
+    void othersTakeOverWhenContactsAreLost() {
+        Simulation simulation = group(3, 10, 2);
+        for (int i = 0; i < Exchanger.CONTACTS; i++) {
+            simulation.node("dc0-h00" + i).crash();
+        }
+        double lossKnownMs = simulation.runUntilAll(60_000, node -> node.view().count(MemberState.FAILED) == 3);
+        assertThat(lossKnownMs).isLessThan(20_000.0);
+        simulation.node("dc0-h009").announce(BackendState.DRAINING);
+        double drainKnownMs = simulation.runUntilAll(
+                10_000, node -> node.view().instancesOf(SPECDESK).size() == 26);
+        assertThat(drainKnownMs).isLessThan(3_000.0);
+    }
+
+    /** Guards R10 and section 13: a partition evicts nobody on either side, and the views converge after it. */
+    @Test
+    void regionsConvergeAfterAnHourApart() {
+        Simulation simulation = group(4, 5, 3);
+        simulation.cut((from, to) -> isFirstRegion(from) != isFirstRegion(to));
+        simulation.run(30_000);
+        simulation.clock().advance(3_600_000);
+        simulation.run(10_000);
+        assertThat(simulation.node("dc0-h000").view().count(MemberState.ALIVE)).isEqualTo(20);
+        simulation.node("dc0-h003").announce(BackendState.DRAINING);
+        simulation.node("dc3-h001").crash();
+        simulation.node("dc2-h002").membership().setConfigurationRevision(8);
+        simulation.run(20_000);
+        assertThat(simulation.node("dc3-h000").view().instancesOf(SPECDESK)).hasSize(19);
+
+        simulation.heal();
+        double healedMs = simulation.runUntilAll(
+                30_000,
+                node -> node.view().instancesOf(SPECDESK).size() == 18
+                        && node.view().count(MemberState.FAILED) == 1
+                        && node.view().highestConfigurationRevision() == 8);
+        assertThat(healedMs).isLessThan(10_000.0);
+    }
+
+    private static boolean isFirstRegion(Simulation.Node node) {
+        return node.dataCentre.equals("dc0") || node.dataCentre.equals("dc1");
+    }
+
+    private static long bytes(Simulation.Node node) {
+        MembershipCounters counters = node.membership().counters();
+        return counters.datagramBytesSent() + counters.exchangeBytesSent();
+    }
+}
--- /dev/null
+++ b/sequoianotch-membership/src/test/java/org/sequoianotch/membership/MemberTest.java
@@ -0,0 +1,77 @@
+package org.sequoianotch.membership;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.IOException;
+import java.util.List;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import org.msgpack.core.MessagePack;
+import org.sequoianotch.model.BackendState;
+import org.sequoianotch.model.DataCentre;
+import org.sequoianotch.model.HostId;
+import org.sequoianotch.model.Instance;
+import org.sequoianotch.model.Region;
+import org.sequoianotch.model.ServiceName;
+
+/** Guards against nodes that disagree for ever because news reached them in different orders. */
+class MemberTest {
+    private static final HostId HOST = HostId.of("h");
+    private static final DataCentre DC = DataCentre.of("dc");
+    private static final Region REGION = Region.of("r");
+
+    @Provide
+    Arbitrary<Member> news() {
+        // Small ranges, so that equal incarnations, changes and states meet often.
+        return Combinators.combine(
+                        Arbitraries.longs().between(1, 3),
+                        Arbitraries.longs().between(0, 2),
+                        Arbitraries.of(MemberState.values()),
+                        Arbitraries.longs().between(10, 12),
+                        Arbitraries.integers().between(0, 2),
+                        Arbitraries.longs().between(0, 2))
+                .as((incarnation, change, state, since, slots, revision) -> new Member(
+                        HOST, DC, REGION, "a:1", incarnation, change, state, since, instances(slots), revision));
+    }
+
+    private static List<Instance> instances(int slots) {
+        return slots == 0
+                ? List.of()
+                : List.of(new Instance(ServiceName.of("s"), HOST, DC, REGION, "a:1", slots, BackendState.SERVING, 1));
+    }
+
+    @Property(seed = "1")
+    void mergeIsCommutative(@ForAll("news") Member a, @ForAll("news") Member b) {
+        assertThat(a.merge(b)).isEqualTo(b.merge(a));
+    }
+
+    @Property(seed = "2")
+    void mergeIsAssociative(@ForAll("news") Member a, @ForAll("news") Member b, @ForAll("news") Member c) {
+        assertThat(a.merge(b).merge(c)).isEqualTo(a.merge(b.merge(c)));
+    }
+
+    @Property(seed = "3")
+    void mergeIsIdempotent(@ForAll("news") Member a, @ForAll("news") Member b) {
+        assertThat(a.merge(a)).isEqualTo(a);
+        assertThat(a.merge(b).merge(b)).isEqualTo(a.merge(b));
+    }
+
+    /** Guards against exchanges that call a member newer although a merge would change nothing that is compared. */
+    @Property(seed = "4")
+    void isNewsExactlyIfTheVersionRises(@ForAll("news") Member a, @ForAll("news") Member b) {
+        Member merged = a.merge(b);
+        boolean changes = Digests.of(merged) != Digests.of(a);
+        assertThat(b.isNewsFor(a)).isEqualTo(changes);
+    }
+
+    /** Guards against a field that is lost or swapped on the wire. */
+    @Property(seed = "5")
+    void codecRoundTrips(@ForAll("news") Member a) throws IOException {
+        assertThat(MemberCodec.decode(MessagePack.newDefaultUnpacker(MemberCodec.encode(a))))
+                .isEqualTo(a);
+    }
+}
