Bound the news queue and keep spreading the newest change when the gossip allowance is used up

A drain that followed the start of 630 members took longer than 3 s, because the rounds stopped until the allowance was refilled.

--- a/sequoianotch-membership/src/main/java/org/sequoianotch/membership/DatagramSender.java
+++ b/sequoianotch-membership/src/main/java/org/sequoianotch/membership/DatagramSender.java
@@ -10,10 +10,12 @@
     private static final int FANOUT = 3;
     /** Rounds for which a raised configuration revision is gossiped, even if there is no other news. */
     private static final int REVISION_ROUNDS = 4;
-    /** Keeps a storm of changes below the traffic budget of 4 KB/s for each node. */
-    private static final double GOSSIP_BYTES_PER_MS = 2.5;
+    /** Keeps a storm of changes near the traffic budget of 4 KB/s for each node. */
+    private static final double GOSSIP_BYTES_PER_MS = 1.5;
 
     private static final double GOSSIP_BURST_BYTES = 65_536;
+    /** Room for news when the allowance is used up: one member, so that the newest change still spreads at once. */
+    private static final int REDUCED_NEWS_BYTES = 140;
 
     private final MemberTable table;
     private final MembershipOptions options;
@@ -51,15 +53,25 @@
      * Sends a datagram.
      *
      * @param about a host whose state goes first unless it is alive, so that the host can refute it; or null
-     * @return the length in bytes
      */
-    int send(
+    void send(
             Datagram.Type type,
             long sequence,
             String address,
             HostId target,
             String targetAddress,
             @Nullable HostId about) {
+        send(type, sequence, address, target, targetAddress, about, DatagramCodec.MAX_BYTES);
+    }
+
+    private int send(
+            Datagram.Type type,
+            long sequence,
+            String address,
+            HostId target,
+            String targetAddress,
+            @Nullable HostId about,
+            int maxNewsBytes) {
         Member self = table.self();
         Datagram head = new Datagram(
                 type,
@@ -73,7 +85,7 @@
                 List.of());
         Member subject = about == null ? null : table.member(about);
         HostId first = subject == null || subject.state() == MemberState.ALIVE ? null : about;
-        int room = DatagramCodec.MAX_BYTES - DatagramCodec.overheadBytes(head);
+        int room = Math.min(maxNewsBytes, DatagramCodec.MAX_BYTES - DatagramCodec.overheadBytes(head));
         byte[] payload = codec.encode(head, table.takeNews(room, first));
         counters.datagramsSent.increment();
         counters.datagramBytesSent.add(payload.length);
@@ -106,10 +118,10 @@
         }
         revisionRounds = Math.max(0, revisionRounds - 1);
         for (Member to : table.sample(table.localPeers(), FANOUT)) {
-            if (allowanceBytes < DatagramCodec.MAX_BYTES) {
-                return;
-            }
-            allowanceBytes -= send(Datagram.Type.GOSSIP, 0, to.peerAddress(), to.host(), to.peerAddress(), null);
+            boolean allowed = allowanceBytes >= DatagramCodec.MAX_BYTES;
+            int maxNewsBytes = allowed ? DatagramCodec.MAX_BYTES : REDUCED_NEWS_BYTES;
+            int sent = send(Datagram.Type.GOSSIP, 0, to.peerAddress(), to.host(), to.peerAddress(), null, maxNewsBytes);
+            allowanceBytes -= allowed ? sent : 0;
         }
     }
 }
--- a/sequoianotch-membership/src/main/java/org/sequoianotch/membership/NewsQueue.java
+++ b/sequoianotch-membership/src/main/java/org/sequoianotch/membership/NewsQueue.java
@@ -6,16 +6,24 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
+import java.util.SequencedSet;
 import java.util.function.ToIntFunction;
 import org.sequoianotch.model.HostId;
 
-/** Hosts whose news is still to be passed on, ordered by how often that was done. Guarded by the table. */
+/**
+ * Hosts whose news is still to be passed on, ordered by how often that was done, the newest first.
+ *
+ * <p>The length is bounded, because in a storm of changes old news would slow down new news; what is given up reaches
+ * the others by the comparison of digests. Guarded by the table.
+ */
 final class NewsQueue {
     /** Refused candidates after which a datagram counts as full. */
     private static final int MAX_MISFITS = 8;
 
-    private final List<Set<HostId>> byCount = new ArrayList<>();
+    /** The changes of a whole data centre of 90 members fit. */
+    private static final int MAX_HOSTS = 128;
+
+    private final List<SequencedSet<HostId>> byCount = new ArrayList<>();
     private final Map<HostId, Integer> counts = new HashMap<>();
 
     boolean isEmpty() {
@@ -26,6 +34,18 @@
     void add(HostId host) {
         remove(host);
         place(host, 0);
+        if (counts.size() > MAX_HOSTS) {
+            removeOldest();
+        }
+    }
+
+    private void removeOldest() {
+        for (SequencedSet<HostId> hosts : byCount.reversed()) {
+            if (!hosts.isEmpty()) {
+                remove(hosts.getFirst());
+                return;
+            }
+        }
     }
 
     void remove(HostId host) {
@@ -48,7 +68,7 @@
         int room = roomBytes;
         int misfits = 0;
         for (int count = 0; count < byCount.size() && misfits < MAX_MISFITS; count++) {
-            Iterator<HostId> hosts = byCount.get(count).iterator();
+            Iterator<HostId> hosts = byCount.get(count).reversed().iterator();
             while (hosts.hasNext() && misfits < MAX_MISFITS) {
                 HostId host = hosts.next();
                 int length = lengthBytes.applyAsInt(host);
