--- a/sequoianotch-membership/src/main/java/org/sequoianotch/membership/MemberTable.java
+++ b/sequoianotch-membership/src/main/java/org/sequoianotch/membership/MemberTable.java
@@ -33,6 +33,8 @@
     private final SortedMap<HostId, Entry> entries = new TreeMap<>();
     private final NewsQueue news = new NewsQueue();
     private @Nullable List<Member> localPeers;
+    private @Nullable SortedMap<DataCentre, Long> digests;
+    private boolean warnedOfNamesake;
     private final Set<HostId> changed = new LinkedHashSet<>();
     private final Set<HostId> toForward = new LinkedHashSet<>();
     private final List<HostId> joined = new ArrayList<>();
@@ -162,6 +164,9 @@
             if (incoming.state() != MemberState.ALIVE) {
                 counters.suspicionsRefuted.increment();
                 selfSuspicions++;
+            } else if (!incoming.peerAddress().equals(self.peerAddress()) && !warnedOfNamesake) {
+                warnedOfNamesake = true;
+                LOG.warn("[member] Another process at {} uses the name of this host", incoming.peerAddress());
             }
             replaceSelf(self.withIncarnation(incoming.incarnation() + 1, clock.nowMs()));
         }
@@ -202,8 +207,9 @@
     }
 
     private void store(Entry entry) {
-        entries.put(entry.member.host(), entry);
-        if (isLocal(entry.member)) {
+        Entry old = entries.put(entry.member.host(), entry);
+        digests = null;
+        if (isLocal(entry.member) || old != null && isLocal(old.member)) {
             localPeers = null;
         }
     }
@@ -229,6 +235,7 @@
 
     void removeForgotten() {
         entries.values().removeIf(entry -> isForgotten(entry.member));
+        digests = null;
     }
 
     private boolean isForgotten(Member member) {
@@ -297,32 +304,28 @@
 
     /** Tells whether this node is one of the given number of reachable local members with the lowest host ids. */
     boolean isAmongLowest(int count) {
-        int lower = 0;
-        for (Entry entry : entries.values()) {
-            if (entry.member.host().equals(self.host())) {
-                return lower < count;
-            }
-            if (entry.member.state().isReachable() && isLocal(entry.member)) {
-                lower++;
-            }
-        }
-        return false;
+        List<Member> peers = localPeers();
+        return peers.size() < count
+                || self.host().compareTo(peers.get(count - 1).host()) < 0;
     }
 
+    /** Returns the sum of the members' hashes for each data centre. */
     SortedMap<DataCentre, Long> digests() {
-        SortedMap<DataCentre, Long> digests = new TreeMap<>();
-        for (Entry entry : entries.values()) {
-            if (!isForgotten(entry.member)) {
-                digests.merge(entry.member.dataCentre(), entry.digest, Long::sum);
+        SortedMap<DataCentre, Long> sums = digests;
+        if (sums == null) {
+            sums = new TreeMap<>();
+            for (Entry entry : entries.values()) {
+                sums.merge(entry.member.dataCentre(), entry.digest, Long::sum);
             }
+            digests = sums;
         }
-        return digests;
+        return sums;
     }
 
     List<ExchangeCodec.Version> versionsIn(DataCentre dataCentre) {
         return entries.values().stream()
                 .map(entry -> entry.member)
-                .filter(member -> member.dataCentre().equals(dataCentre) && !isForgotten(member))
+                .filter(member -> member.dataCentre().equals(dataCentre))
                 .map(ExchangeCodec.Version::of)
                 .toList();
     }
