--- /dev/null
+++ b/sequoianotch-control/src/main/java/org/sequoianotch/control/Admission.java
@@ -0,0 +1,198 @@
+package org.sequoianotch.control;
+
+import io.vavr.control.Either;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.UUID;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.sequoianotch.control.Question.HelloAnswer;
+import org.sequoianotch.control.group.Member;
+import org.sequoianotch.control.group.MemberSet;
+import org.sequoianotch.control.group.RaftMember;
+import org.sequoianotch.control.state.ControlError;
+import org.sequoianotch.error.ErrorKind;
+import org.sequoianotch.error.Failure;
+import org.sequoianotch.model.HostId;
+import org.sequoianotch.protocol.Topic;
+import org.sequoianotch.protocol.link.Asker;
+import org.sequoianotch.time.Clock;
+
+/**
+ * Forms the group, and admits and removes members.
+ *
+ * <p>A new group is formed by the control host with the lowest id, once every control host has answered that it belongs
+ * to no group and has the same list of hosts. A host with an empty folder that finds a group asks to be admitted. Then
+ * its old identity is removed, and the new one is added after it has caught up.
+ */
+final class Admission {
+    private static final Logger LOGGER = LogManager.getLogger(Admission.class);
+    private static final long CATCH_UP_CHECK_MS = 20;
+
+    private final ControlGroupOptions options;
+    private final RaftMember raft;
+    private final Asker asker;
+    private final Clock clock;
+    private final AtomicBoolean changing = new AtomicBoolean();
+
+    Admission(ControlGroupOptions options, RaftMember raft, Asker asker, Clock clock) {
+        this.options = options;
+        this.raft = raft;
+        this.asker = asker;
+        this.clock = clock;
+    }
+
+    HelloAnswer hello() {
+        return new HelloAnswer(self(), raft.isFormed(), options.hosts().toString());
+    }
+
+    private Member self() {
+        return new Member(raft.status().memberId(), options.host(), ownAddress());
+    }
+
+    private String ownAddress() {
+        return options.hosts().getOrDefault(options.host(), "");
+    }
+
+    /** One attempt of a member without a group to form one or to join one. */
+    void formOrJoin() {
+        Map<HostId, HelloAnswer> answers = new TreeMap<>();
+        options.hosts().forEach((host, address) -> {
+            if (!host.equals(options.host())) {
+                ask(address, new Question.Hello()).map(HelloAnswer::of).peek(answer -> answers.put(host, answer));
+            }
+        });
+        List<HostId> formed = answers.entrySet().stream()
+                .filter(entry -> entry.getValue().formed())
+                .map(Map.Entry::getKey)
+                .toList();
+        if (!formed.isEmpty()) {
+            Member self = self();
+            Question join = new Question.Join(self.id(), self.host(), self.address());
+            formed.forEach(host -> ask(options.hosts().getOrDefault(host, ""), join));
+        } else if (mayForm(answers)) {
+            MemberSet founders = new MemberSet(UUID.randomUUID().toString(), List.of(self()));
+            for (HelloAnswer answer : answers.values()) {
+                founders = founders.plus(answer.member());
+            }
+            raft.form(founders);
+        }
+    }
+
+    private boolean mayForm(Map<HostId, HelloAnswer> answers) {
+        boolean lowest = options.hosts().firstKey().equals(options.host());
+        boolean complete = answers.size() == options.hosts().size() - 1;
+        String ownHosts = options.hosts().toString();
+        return lowest
+                && complete
+                && answers.values().stream().allMatch(answer -> answer.hosts().equals(ownHosts));
+    }
+
+    /** Takes a request to join, and carries it out in the background as the leader. */
+    Either<Failure, byte[]> join(HostId from, Question.Join join) {
+        if (!from.equals(join.host()) || !options.hosts().containsKey(from)) {
+            return Either.left(Failure.of(
+                    ErrorKind.BAD_REQUEST, "Host " + from + " is not one of the control hosts in the settings."));
+        }
+        Member newcomer = new Member(join.memberId(), join.host(), join.address());
+        return raft.readCurrent(() -> raft.status().members()).flatMap(members -> {
+            boolean known = members.member(newcomer.id()).isPresent();
+            if (!known && changing.compareAndSet(false, true)) {
+                Thread.ofVirtual().name("control-admission").start(() -> {
+                    try {
+                        admit(newcomer)
+                                .peek(done -> LOGGER.info("[control] Admitted {}.", newcomer))
+                                .peekLeft(failure ->
+                                        LOGGER.warn("[control] {} was not admitted: {}", newcomer, failure.detail()));
+                    } finally {
+                        changing.set(false);
+                    }
+                });
+            }
+            return Either.right(new byte[0]);
+        });
+    }
+
+    /** Adds the present identity of a host as the leader. */
+    Either<Failure, byte[]> add(HostId host, String address) {
+        return exclusively(() -> ask(address, new Question.Hello())
+                .map(HelloAnswer::of)
+                .flatMap(answer -> answer.member().host().equals(host)
+                        ? admit(new Member(answer.member().id(), host, address))
+                        : Either.left(ControlError.MEMBERS_NOT_CHANGED.failure(
+                                "The address belongs to host " + answer.member().host() + "."))));
+    }
+
+    /** Removes the member of a host as the leader. */
+    Either<Failure, byte[]> remove(HostId host) {
+        return exclusively(() -> {
+            Optional<Member> member = raft.status().members().memberOf(host);
+            return member.isEmpty()
+                    ? Either.left(
+                            ControlError.MEMBERS_NOT_CHANGED.failure("Host " + host + " has no member in the group."))
+                    : Waiting.answer(raft.changeMembers(null, member.get().id()), options.changeTimeoutMs());
+        });
+    }
+
+    private interface MemberChange {
+        Either<Failure, byte[]> run();
+    }
+
+    private Either<Failure, byte[]> exclusively(MemberChange change) {
+        if (!changing.compareAndSet(false, true)) {
+            return Either.left(
+                    ControlError.MEMBERS_NOT_CHANGED.failure("Another change of the members is in progress."));
+        }
+        try {
+            return change.run();
+        } finally {
+            changing.set(false);
+        }
+    }
+
+    private Either<Failure, byte[]> admit(Member newcomer) {
+        if (raft.status().members().member(newcomer.id()).isPresent()) {
+            return Either.right(new byte[0]);
+        }
+        Either<Failure, Boolean> caughtUp = raft.addLearner(newcomer).flatMap(added -> awaitCaughtUp(newcomer));
+        if (caughtUp.isLeft()) {
+            return Either.left(caughtUp.getLeft());
+        }
+        Optional<Member> old = raft.status().members().memberOf(newcomer.host());
+        if (old.isPresent()) {
+            Either<Failure, byte[]> removed =
+                    Waiting.answer(raft.changeMembers(null, old.get().id()), options.changeTimeoutMs());
+            if (removed.isLeft()) {
+                return removed;
+            }
+        }
+        return Waiting.answer(raft.changeMembers(newcomer, ""), options.changeTimeoutMs());
+    }
+
+    private Either<Failure, Boolean> awaitCaughtUp(Member newcomer) {
+        double endMs = clock.monotonicMs() + options.admissionTimeoutMs();
+        try {
+            while (clock.monotonicMs() < endMs) {
+                if (raft.hasCaughtUp(newcomer.id())) {
+                    return Either.right(true);
+                }
+                clock.sleep(CATCH_UP_CHECK_MS);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        return Either.left(ControlError.MEMBERS_NOT_CHANGED.failure("The new member did not catch up in time."));
+    }
+
+    private Either<Failure, byte[]> ask(String address, Question question) {
+        return asker.ask(
+                        address,
+                        Topic.CONTROL,
+                        question.toBytes(),
+                        options.settings().requestTimeoutMs())
+                .flatMap(Question::open);
+    }
+}
--- /dev/null
+++ b/sequoianotch-control/src/main/java/org/sequoianotch/control/ControlGroup.java
@@ -0,0 +1,370 @@
+package org.sequoianotch.control;
+
+import io.vavr.control.Either;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Random;
+import java.util.UUID;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Consumer;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.jspecify.annotations.Nullable;
+import org.sequoianotch.control.codec.Decoder;
+import org.sequoianotch.control.codec.Encoder;
+import org.sequoianotch.control.group.GroupStatus;
+import org.sequoianotch.control.group.Member;
+import org.sequoianotch.control.group.RaftMember;
+import org.sequoianotch.control.group.Role;
+import org.sequoianotch.control.log.DiskFolder;
+import org.sequoianotch.control.log.MemberStore;
+import org.sequoianotch.control.log.StorageException;
+import org.sequoianotch.control.state.AuditRecord;
+import org.sequoianotch.control.state.ChangeRequest;
+import org.sequoianotch.control.state.ChangeResult;
+import org.sequoianotch.control.state.ControlError;
+import org.sequoianotch.control.state.TemplateState;
+import org.sequoianotch.control.state.TemplateTexts;
+import org.sequoianotch.error.ErrorKind;
+import org.sequoianotch.error.Failure;
+import org.sequoianotch.model.HostId;
+import org.sequoianotch.protocol.Topic;
+import org.sequoianotch.protocol.link.AskHandler;
+import org.sequoianotch.protocol.link.Asker;
+import org.sequoianotch.time.Clock;
+
+/**
+ * A control host's member of the control group.
+ *
+ * <p>Use: create it, register {@link #askHandler} for {@link Topic#CONTROL}, and call {@link #start}. This class is
+ * thread-safe.
+ */
+public final class ControlGroup implements AutoCloseable {
+    private static final Logger LOGGER = LogManager.getLogger(ControlGroup.class);
+    private static final int TICKS_PER_ELECTION_TIMEOUT = 20;
+    private static final long RETRY_MS = 50;
+    /** Bounds the wait of a question, so that a closed host does not hold one for long. */
+    private static final long MAX_FETCH_WAIT_MS = 30_000;
+
+    private static final long LISTENER_WAIT_MS = 1_000;
+
+    private final ControlGroupOptions options;
+    private final Asker asker;
+    private final Clock clock;
+    private final RevisionBoard board = new RevisionBoard();
+    private final TemplateState state = new TemplateState();
+    private final List<Consumer<TemplateTexts>> listeners = new CopyOnWriteArrayList<>();
+    private final List<Thread> threads = new CopyOnWriteArrayList<>();
+    private volatile @Nullable Running running;
+
+    private record Running(MemberStore store, RaftMember raft, PeerTasks tasks, Admission admission) {}
+
+    /**
+     * Creates a member that is not started.
+     *
+     * @param options the options; not null
+     * @param asker sends questions to other hosts; not null
+     * @param clock the clock; not null
+     */
+    public ControlGroup(ControlGroupOptions options, Asker asker, Clock clock) {
+        this.options = Objects.requireNonNull(options, "options");
+        this.asker = Objects.requireNonNull(asker, "asker");
+        this.clock = Objects.requireNonNull(clock, "clock");
+    }
+
+    /**
+     * Opens the data folder, restores the state and takes part in the group.
+     *
+     * @throws StorageException if the data folder is corrupt, incomplete or in use
+     * @throws IllegalStateException if it was started before
+     */
+    public synchronized void start() {
+        if (running != null) {
+            throw new IllegalStateException("the control group member was started before");
+        }
+        DiskFolder folder = DiskFolder.open(options.dataFolder());
+        try {
+            MemberStore store = MemberStore.open(folder, options.host().name() + "." + UUID.randomUUID());
+            RaftMember raft =
+                    new RaftMember(store, new PublishingState(state, board), options.settings(), clock, new Random());
+            PeerTasks tasks = new PeerTasks(raft, asker, options);
+            Running started = new Running(store, raft, tasks, new Admission(options, raft, asker, clock));
+            running = started;
+            startThread("control-tick", () -> tickLoop(started));
+            startThread("control-formation", () -> formationLoop(started));
+            startThread("control-listeners", this::listenerLoop);
+            LOGGER.info("[control] Started as member {}; the folder has revision {}.", store.memberId(), revision());
+        } catch (StorageException e) {
+            folder.close();
+            throw e;
+        }
+    }
+
+    private interface Loop {
+        void run() throws InterruptedException;
+    }
+
+    private void startThread(String name, Loop loop) {
+        threads.add(Thread.ofVirtual().name(name).start(() -> {
+            try {
+                loop.run();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }));
+    }
+
+    private void tickLoop(Running started) throws InterruptedException {
+        long intervalMs = Math.max(1, options.settings().electionTimeoutMs() / TICKS_PER_ELECTION_TIMEOUT);
+        while (running != null) {
+            started.raft().tick();
+            started.tasks().refresh();
+            clock.sleep(intervalMs);
+        }
+    }
+
+    private void formationLoop(Running started) throws InterruptedException {
+        while (running != null && !started.raft().isFormed()) {
+            try {
+                started.admission().formOrJoin();
+            } catch (IllegalArgumentException e) {
+                LOGGER.warn("[control] A control host gave a malformed answer: {}", e.getMessage());
+            }
+            clock.sleep(Math.max(1, options.settings().electionTimeoutMs() / 2));
+        }
+    }
+
+    private void listenerLoop() throws InterruptedException {
+        long known = 0;
+        while (running != null) {
+            TemplateTexts newest = board.await(known, LISTENER_WAIT_MS);
+            if (newest.revision() > known) {
+                known = newest.revision();
+                listeners.forEach(listener -> tell(listener, newest));
+            }
+        }
+    }
+
+    private static void tell(Consumer<TemplateTexts> listener, TemplateTexts texts) {
+        try {
+            listener.accept(texts);
+        } catch (RuntimeException e) {
+            LOGGER.error("[control] A listener failed on revision {}.", texts.revision(), e);
+        }
+    }
+
+    /**
+     * Adds a listener that is told each revision that is committed here, in rising order; it may miss some in between.
+     * A revision that was committed before the listener was added is not repeated.
+     *
+     * @param listener the listener; not null
+     */
+    public void addListener(Consumer<TemplateTexts> listener) {
+        listeners.add(listener);
+    }
+
+    /**
+     * Applies a change, here if this member leads and otherwise at the leader. A resend with the same change id gets
+     * the first answer.
+     *
+     * @param request the change; not null
+     * @return the result, or a failure that leaves open whether the change is accepted
+     */
+    public Either<Failure, ChangeResult> apply(ChangeRequest request) {
+        return atLeader(() -> applyHere(request), new Question.Change(false, request))
+                .map(ChangeResult::of);
+    }
+
+    private Either<Failure, byte[]> applyHere(ChangeRequest request) {
+        return Waiting.answer(
+                raft().propose(() -> state.check(request)
+                        .<Either<byte[], byte[]>>map(answer -> Either.left(answer.toBytes()))
+                        .orElseGet(() -> Either.right(TemplateState.entryOf(request, clock.nowMs())))),
+                options.changeTimeoutMs());
+    }
+
+    /**
+     * Reads the templates in force, as current: at least as new as every change that was accepted before the call.
+     *
+     * @return the templates, or the failure if no leader with a majority is in reach
+     */
+    public Either<Failure, TemplateTexts> read() {
+        return atLeader(this::readHere, new Question.Read(false))
+                .map(bytes -> TemplateTexts.decode(new Decoder(bytes)));
+    }
+
+    private Either<Failure, byte[]> readHere() {
+        return raft().readCurrent(state::texts).map(texts -> {
+            Encoder encoder = new Encoder();
+            texts.encode(encoder);
+            return encoder.toBytes();
+        });
+    }
+
+    private interface LocalAnswer {
+        Either<Failure, byte[]> get();
+    }
+
+    /** Answers here as the leader or asks the leader; while there is none, tries again until the time has passed. */
+    private Either<Failure, byte[]> atLeader(LocalAnswer local, Question forwarded) {
+        double endMs = clock.monotonicMs() + options.changeTimeoutMs();
+        Either<Failure, byte[]> answer = atLeaderOnce(local, forwarded);
+        while (isNoLeader(answer) && clock.monotonicMs() < endMs) {
+            try {
+                clock.sleep(RETRY_MS);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                return answer;
+            }
+            answer = atLeaderOnce(local, forwarded);
+        }
+        return answer;
+    }
+
+    private Either<Failure, byte[]> atLeaderOnce(LocalAnswer local, Question forwarded) {
+        GroupStatus status = raft().status();
+        Optional<Member> leader = status.leader();
+        if (status.role() == Role.LEADER || leader.isEmpty()) {
+            return local.get();
+        }
+        return asker.ask(
+                        options.hosts()
+                                .getOrDefault(leader.get().host(), leader.get().address()),
+                        Topic.CONTROL,
+                        forwarded.toBytes(),
+                        options.changeTimeoutMs())
+                .mapLeft(failure -> ControlError.ANSWER_LOST.failure(
+                        "Asking the leader on host " + leader.get().host() + " failed: " + failure.detail()))
+                .flatMap(Question::open);
+    }
+
+    private static boolean isNoLeader(Either<Failure, byte[]> answer) {
+        return answer.isLeft() && answer.getLeft().detail().startsWith(ControlError.NO_LEADER.code() + ":");
+    }
+
+    /**
+     * Adds a host to the group once it has caught up. If the host is a member under another identity, this identity is
+     * removed first.
+     *
+     * @param host the host, which runs as a control host with an empty data folder; not null
+     * @param address address of its peer listener; not null
+     * @return true once the change is committed, or the failure
+     */
+    public Either<Failure, Boolean> addMember(HostId host, String address) {
+        return atLeader(() -> admission().add(host, address), new Question.AddMember(host, address))
+                .map(done -> true);
+    }
+
+    /**
+     * Removes a host from the group.
+     *
+     * @param host the host; not null
+     * @return true once the change is committed, or the failure
+     */
+    public Either<Failure, Boolean> removeMember(HostId host) {
+        return atLeader(() -> admission().remove(host), new Question.RemoveMember(host))
+                .map(done -> true);
+    }
+
+    /**
+     * Returns the state of this member.
+     *
+     * @return the state, never null
+     */
+    public GroupStatus status() {
+        return raft().status();
+    }
+
+    /**
+     * Returns the highest revision that is known here to be committed. It is not necessarily the current one.
+     *
+     * @return the revision
+     */
+    public long revision() {
+        return board.newest().revision();
+    }
+
+    /**
+     * Returns the newest audit records that are known here. They are not necessarily the current ones.
+     *
+     * @param maxRecords the greatest number of records; not negative
+     * @return the records, the newest first, never null
+     */
+    public List<AuditRecord> audit(int maxRecords) {
+        return raft().inspect(() -> state.audit(maxRecords));
+    }
+
+    /**
+     * Returns the handler of the control topic on this host.
+     *
+     * @return the handler, never null
+     */
+    public AskHandler askHandler() {
+        return (from, payload) -> {
+            try {
+                return Either.right(Question.envelope(answer(from, Question.of(payload))));
+            } catch (IllegalArgumentException e) {
+                return Either.left(Failure.of(ErrorKind.BAD_REQUEST, String.valueOf(e.getMessage())));
+            }
+        };
+    }
+
+    private Either<Failure, byte[]> answer(HostId from, Question question) {
+        if (running == null) {
+            return Either.left(ControlError.NO_LEADER.failure("The control host is not started."));
+        }
+        return switch (question) {
+            case Question.ToMember q -> {
+                Encoder encoder = new Encoder();
+                raft().handle(q.targetId(), q.request()).encode(encoder);
+                yield Either.right(encoder.toBytes());
+            }
+            case Question.Hello q -> Either.right(admission().hello().toBytes());
+            case Question.Join q -> admission().join(from, q);
+            case Question.Change q -> q.mayForward()
+                    ? atLeader(() -> applyHere(q.request()), new Question.Change(false, q.request()))
+                    : applyHere(q.request());
+            case Question.Read q -> q.mayForward() ? atLeader(this::readHere, new Question.Read(false)) : readHere();
+            case Question.Fetch q -> Either.right(fetch(q).toBytes());
+            case Question.AddMember q -> admission().add(q.host(), q.address());
+            case Question.RemoveMember q -> admission().remove(q.host());
+        };
+    }
+
+    private Question.FetchAnswer fetch(Question.Fetch question) {
+        TemplateTexts texts = TemplateFollower.awaitNewer(board, question, MAX_FETCH_WAIT_MS);
+        boolean inContact = raft().status().inContact();
+        return new Question.FetchAnswer(inContact, texts.revision() > question.knownRevision(), texts);
+    }
+
+    private RaftMember raft() {
+        return started().raft();
+    }
+
+    private Admission admission() {
+        return started().admission();
+    }
+
+    private Running started() {
+        Running present = running;
+        if (present == null) {
+            throw new IllegalStateException("the control group member is not started");
+        }
+        return present;
+    }
+
+    @Override
+    public synchronized void close() {
+        Running present = running;
+        if (present == null) {
+            return;
+        }
+        running = null;
+        board.close();
+        present.tasks().close();
+        threads.forEach(Thread::interrupt);
+        present.raft().stop();
+        present.store().close();
+    }
+}
--- /dev/null
+++ b/sequoianotch-control/src/main/java/org/sequoianotch/control/PeerTasks.java
@@ -0,0 +1,98 @@
+package org.sequoianotch.control;
+
+import io.vavr.control.Either;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.sequoianotch.control.codec.Decoder;
+import org.sequoianotch.control.group.GroupMessage;
+import org.sequoianotch.control.group.Member;
+import org.sequoianotch.control.group.Outgoing;
+import org.sequoianotch.control.group.RaftMember;
+import org.sequoianotch.error.Failure;
+import org.sequoianotch.model.HostId;
+import org.sequoianotch.protocol.Topic;
+import org.sequoianotch.protocol.link.Asker;
+
+/** One task for each peer, which sends the member's questions and reports their answers. Thread-safe. */
+final class PeerTasks {
+    private static final Logger LOGGER = LogManager.getLogger(PeerTasks.class);
+
+    private final RaftMember member;
+    private final Asker asker;
+    private final Map<HostId, String> hosts;
+    private final long requestTimeoutMs;
+    private final long idleWaitMs;
+    private final Map<String, Thread> threads = new ConcurrentHashMap<>();
+
+    PeerTasks(RaftMember member, Asker asker, ControlGroupOptions options) {
+        this.member = member;
+        this.asker = asker;
+        this.hosts = options.hosts();
+        this.requestTimeoutMs = options.settings().requestTimeoutMs();
+        this.idleWaitMs = Math.max(1, options.settings().heartbeatMs() / 4);
+    }
+
+    /** Starts a task for each peer that has none, and stops those of former peers. */
+    void refresh() {
+        Map<String, Member> wanted = new ConcurrentHashMap<>();
+        member.peers().forEach(peer -> wanted.put(peer.id(), peer));
+        threads.forEach((id, thread) -> {
+            if (!wanted.containsKey(id)) {
+                thread.interrupt();
+                threads.remove(id);
+            }
+        });
+        wanted.forEach((id, peer) -> threads.computeIfAbsent(
+                id,
+                key -> Thread.ofVirtual().name("control-peer-" + peer.host()).start(() -> run(peer))));
+    }
+
+    void close() {
+        threads.values().forEach(Thread::interrupt);
+        threads.clear();
+    }
+
+    private void run(Member peer) {
+        // The settings win over the address that was written into the log when the member was admitted.
+        String address = hosts.getOrDefault(peer.host(), peer.address());
+        try {
+            while (!Thread.currentThread().isInterrupted()) {
+                var question = member.awaitNext(peer.id(), idleWaitMs);
+                question.ifPresent(outgoing -> send(address, outgoing));
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void send(String address, Outgoing outgoing) {
+        byte[] payload = new Question.ToMember(outgoing.peer().id(), outgoing.request()).toBytes();
+        Either<Failure, byte[]> answer =
+                asker.ask(address, Topic.CONTROL, payload, requestTimeoutMs).flatMap(Question::open);
+        if (answer.isLeft()) {
+            member.lost(outgoing);
+            return;
+        }
+        try {
+            if (GroupMessage.decode(new Decoder(answer.get())) instanceof GroupMessage.Reply reply) {
+                logDeclined(outgoing, reply);
+                member.answered(outgoing, reply);
+                return;
+            }
+        } catch (IllegalArgumentException e) {
+            LOGGER.warn(
+                    "[control] Host {} gave a malformed answer: {}",
+                    outgoing.peer().host(),
+                    e.getMessage());
+        }
+        member.lost(outgoing);
+    }
+
+    private static void logDeclined(Outgoing outgoing, GroupMessage.Reply reply) {
+        if (reply instanceof GroupMessage.Declined declined) {
+            LOGGER.debug("[control] Host {} declined: {}", outgoing.peer().host(), declined.reason());
+        }
+    }
+}
--- /dev/null
+++ b/sequoianotch-control/src/main/java/org/sequoianotch/control/Waiting.java
@@ -0,0 +1,29 @@
+package org.sequoianotch.control;
+
+import io.vavr.control.Either;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.sequoianotch.control.state.ControlError;
+import org.sequoianotch.error.Failure;
+
+/** Waits for answers of the group. */
+final class Waiting {
+    private Waiting() {}
+
+    /** Waits for an answer; if it does not come in time, the outcome is open. */
+    static Either<Failure, byte[]> answer(CompletableFuture<Either<Failure, byte[]>> answer, long timeoutMs) {
+        try {
+            return answer.get(timeoutMs, TimeUnit.MILLISECONDS);
+        } catch (TimeoutException e) {
+            return Either.left(
+                    ControlError.ANSWER_LOST.failure("No majority stored the change within " + timeoutMs + " ms."));
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return Either.left(ControlError.ANSWER_LOST.failure("The wait was interrupted."));
+        } catch (ExecutionException e) {
+            return Either.left(ControlError.ANSWER_LOST.failure(String.valueOf(e.getCause())));
+        }
+    }
+}
--- /dev/null
+++ b/sequoianotch-control/src/main/java/org/sequoianotch/control/codec/Decoder.java
@@ -0,0 +1,94 @@
+package org.sequoianotch.control.codec;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessageUnpacker;
+
+/**
+ * Reads what {@link Encoder} wrote. A decoder serves one message and is not thread-safe.
+ *
+ * <p>Every method throws {@code IllegalArgumentException} if the message is malformed. Lengths are checked against the
+ * size of the message before memory is allocated.
+ */
+public final class Decoder {
+    private final MessageUnpacker unpacker;
+    private final int sizeBytes;
+
+    /**
+     * Creates a decoder.
+     *
+     * @param message the encoded message; not null
+     */
+    public Decoder(byte[] message) {
+        this.unpacker = MessagePack.newDefaultUnpacker(message);
+        this.sizeBytes = message.length;
+    }
+
+    private interface Step<T> {
+        T run() throws IOException;
+    }
+
+    private <T> T step(Step<T> step) {
+        try {
+            return step.run();
+        } catch (IOException | MessagePackException e) {
+            throw new IllegalArgumentException("the message is malformed: " + e.getMessage(), e);
+        }
+    }
+
+    /**
+     * Reads a whole number.
+     *
+     * @return the number
+     */
+    public long number() {
+        return step(unpacker::unpackLong);
+    }
+
+    /**
+     * Reads a number of elements that follow.
+     *
+     * @return the number, from zero to the size of the message in bytes
+     */
+    public int count() {
+        return checkLength(number());
+    }
+
+    /**
+     * Reads a truth value.
+     *
+     * @return the value
+     */
+    public boolean flag() {
+        return step(unpacker::unpackBoolean);
+    }
+
+    /**
+     * Reads a text.
+     *
+     * @return the text, never null
+     */
+    public String text() {
+        return step(() -> new String(
+                unpacker.readPayload(checkLength(unpacker.unpackRawStringHeader())), StandardCharsets.UTF_8));
+    }
+
+    /**
+     * Reads bytes.
+     *
+     * @return the bytes, never null
+     */
+    public byte[] bytes() {
+        return step(() -> unpacker.readPayload(checkLength(unpacker.unpackBinaryHeader())));
+    }
+
+    private int checkLength(long length) {
+        if (length < 0 || length > sizeBytes) {
+            throw new IllegalArgumentException(
+                    "the message of " + sizeBytes + " bytes contains an impossible length of " + length);
+        }
+        return (int) length;
+    }
+}
--- /dev/null
+++ b/sequoianotch-control/src/main/java/org/sequoianotch/control/codec/Encoder.java
@@ -0,0 +1,79 @@
+package org.sequoianotch.control.codec;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+
+/** Writes values as MessagePack. An encoder serves one message and is not thread-safe. */
+public final class Encoder {
+    private final MessageBufferPacker packer = MessagePack.newDefaultBufferPacker();
+
+    /** Creates an empty encoder. */
+    public Encoder() {}
+
+    private interface Step {
+        void run() throws IOException;
+    }
+
+    private Encoder step(Step step) {
+        try {
+            step.run();
+            return this;
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /**
+     * Writes a whole number.
+     *
+     * @param value the number
+     * @return this encoder
+     */
+    public Encoder number(long value) {
+        return step(() -> packer.packLong(value));
+    }
+
+    /**
+     * Writes a truth value.
+     *
+     * @param value the value
+     * @return this encoder
+     */
+    public Encoder flag(boolean value) {
+        return step(() -> packer.packBoolean(value));
+    }
+
+    /**
+     * Writes a text.
+     *
+     * @param value the text; not null
+     * @return this encoder
+     */
+    public Encoder text(String value) {
+        return step(() -> packer.packString(value));
+    }
+
+    /**
+     * Writes bytes.
+     *
+     * @param value the bytes; not null
+     * @return this encoder
+     */
+    public Encoder bytes(byte[] value) {
+        return step(() -> {
+            packer.packBinaryHeader(value.length);
+            packer.writePayload(value);
+        });
+    }
+
+    /**
+     * Returns what was written.
+     *
+     * @return the encoded message, never null
+     */
+    public byte[] toBytes() {
+        return packer.toByteArray();
+    }
+}
--- /dev/null
+++ b/sequoianotch-control/src/main/java/org/sequoianotch/control/group/PeerProgress.java
@@ -0,0 +1,42 @@
+package org.sequoianotch.control.group;
+
+/** What a member knows of one peer. Mutable; guarded by the lock of {@link RaftMember}. */
+final class PeerProgress {
+    private static final double NEVER_MS = Double.NEGATIVE_INFINITY;
+
+    final Member member;
+    boolean voter;
+    long sequence;
+    boolean inFlight;
+    /** When the newest question was made. */
+    double sentAtMs = NEVER_MS;
+    /** When the newest question was made that was answered in the current term; the lease counts from it. */
+    double answeredAtMs = NEVER_MS;
+    /** True after a lost answer, until the next one; the peer then gets no more than heartbeats. */
+    boolean silent;
+
+    long nextIndex = 1;
+    long matchIndex;
+    long sentCommitIndex;
+    long snapshotOffset;
+    long snapshotIndex;
+    boolean askedForVote;
+
+    PeerProgress(Member member) {
+        this.member = member;
+    }
+
+    /** Forgets what was known in an earlier term or round, except the number of questions. */
+    void reset(long lastIndex) {
+        inFlight = false;
+        silent = false;
+        sentAtMs = NEVER_MS;
+        answeredAtMs = NEVER_MS;
+        nextIndex = lastIndex + 1;
+        matchIndex = 0;
+        sentCommitIndex = 0;
+        snapshotOffset = 0;
+        snapshotIndex = 0;
+        askedForVote = false;
+    }
+}
--- /dev/null
+++ b/sequoianotch-control/src/main/java/org/sequoianotch/control/group/PeerTable.java
@@ -0,0 +1,205 @@
+package org.sequoianotch.control.group;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.function.BiFunction;
+import org.jspecify.annotations.Nullable;
+import org.sequoianotch.control.group.GroupMessage.AppendReply;
+import org.sequoianotch.control.group.GroupMessage.AppendRequest;
+import org.sequoianotch.control.group.GroupMessage.Reply;
+import org.sequoianotch.control.group.GroupMessage.Request;
+import org.sequoianotch.control.group.GroupMessage.SnapshotReply;
+import org.sequoianotch.control.group.GroupMessage.SnapshotRequest;
+import org.sequoianotch.control.log.LogEntry;
+
+/** The peers of one member and what it sends to them as leader. Guarded by the lock of {@link RaftMember}. */
+final class PeerTable {
+    private final String ownId;
+    private final GroupSettings settings;
+    private final Replica replica;
+    private final Map<String, Member> learners = new TreeMap<>();
+    private final Map<String, PeerProgress> peers = new TreeMap<>();
+    private byte @Nullable [] snapshotBytes;
+    private long snapshotBytesIndex;
+
+    PeerTable(String ownId, GroupSettings settings, Replica replica) {
+        this.ownId = ownId;
+        this.settings = settings;
+        this.replica = replica;
+    }
+
+    /** Brings the peers in line with the members of the log. */
+    void refresh() {
+        Map<String, Member> wanted = new HashMap<>(learners);
+        replica.members().members().forEach(member -> wanted.put(member.id(), member));
+        wanted.remove(ownId);
+        peers.keySet().retainAll(wanted.keySet());
+        wanted.forEach((id, member) -> {
+            PeerProgress peer = peers.get(id);
+            if (peer == null) {
+                peer = new PeerProgress(member);
+                peer.reset(replica.store.lastIndex());
+                peers.put(id, peer);
+            }
+            peer.voter = replica.members().member(id).isPresent();
+        });
+        learners.keySet().removeIf(id -> replica.members().member(id).isPresent());
+    }
+
+    void reset() {
+        refresh();
+        peers.values().forEach(peer -> peer.reset(replica.store.lastIndex()));
+    }
+
+    void addLearner(Member learner) {
+        learners.put(learner.id(), learner);
+        refresh();
+    }
+
+    void clearLearners() {
+        learners.clear();
+        refresh();
+    }
+
+    Collection<Member> members() {
+        return peers.values().stream().map(peer -> peer.member).toList();
+    }
+
+    long matchIndex(String memberId) {
+        PeerProgress peer = peers.get(memberId);
+        return peer == null ? 0 : peer.matchIndex;
+    }
+
+    /** Tells whether a peer that answers has not yet everything that is committed. */
+    boolean someLag() {
+        return peers.values().stream().anyMatch(peer -> !peer.silent && peer.matchIndex < replica.commitIndex());
+    }
+
+    Optional<Outgoing> next(String peerId, double nowMs, BiFunction<PeerProgress, Double, Optional<Request>> requests) {
+        PeerProgress peer = peers.get(peerId);
+        if (peer == null || peer.inFlight) {
+            return Optional.empty();
+        }
+        return requests.apply(peer, nowMs).map(request -> {
+            peer.inFlight = true;
+            peer.sequence++;
+            peer.sentAtMs = nowMs;
+            return new Outgoing(peer.member, request, peer.sequence, nowMs);
+        });
+    }
+
+    /** Closes the open question to a peer, and returns the peer if the question was still open. */
+    Optional<PeerProgress> close(Outgoing question, boolean answered) {
+        PeerProgress peer = peers.get(question.peer().id());
+        if (peer == null || !peer.inFlight || peer.sequence != question.sequence()) {
+            return Optional.empty();
+        }
+        peer.inFlight = false;
+        peer.silent = !answered;
+        return Optional.of(peer);
+    }
+
+    Optional<Request> appendRequest(PeerProgress peer, Member leader, double nowMs) {
+        boolean heartbeatDue = peer.sentAtMs + settings.heartbeatMs() <= nowMs;
+        boolean news = peer.nextIndex <= replica.store.lastIndex() || peer.sentCommitIndex < replica.commitIndex();
+        if (!heartbeatDue && (peer.silent || !news)) {
+            return Optional.empty();
+        }
+        long term = replica.store.term();
+        String groupId = replica.members().groupId();
+        if (peer.nextIndex <= replica.store.snapshot().lastIndex()) {
+            return Optional.of(snapshotRequest(peer, groupId, term, leader));
+        }
+        peer.sentCommitIndex = replica.commitIndex();
+        long previous = peer.nextIndex - 1;
+        return Optional.of(new AppendRequest(
+                groupId,
+                term,
+                leader,
+                previous,
+                replica.store.termAt(previous),
+                replica.commitIndex(),
+                peer.silent ? List.of() : batch(peer.nextIndex)));
+    }
+
+    private List<LogEntry> batch(long firstIndex) {
+        List<LogEntry> entries = new ArrayList<>();
+        long sizeBytes = 0;
+        for (long index = firstIndex; index <= replica.store.lastIndex(); index++) {
+            LogEntry entry = replica.store.entry(index);
+            sizeBytes += entry.data().length;
+            if (!entries.isEmpty() && sizeBytes > settings.batchBytes()) {
+                break;
+            }
+            entries.add(entry);
+        }
+        return List.copyOf(entries);
+    }
+
+    private SnapshotRequest snapshotRequest(PeerProgress peer, String groupId, long term, Member leader) {
+        long lastIndex = replica.store.snapshot().lastIndex();
+        byte[] bytes = snapshotBytes;
+        if (bytes == null || snapshotBytesIndex != lastIndex) {
+            bytes = replica.store.snapshot().toBytes();
+            snapshotBytes = bytes;
+            snapshotBytesIndex = lastIndex;
+        }
+        if (peer.snapshotIndex != lastIndex || peer.snapshotOffset > bytes.length) {
+            peer.snapshotIndex = lastIndex;
+            peer.snapshotOffset = 0;
+        }
+        int from = (int) peer.snapshotOffset;
+        int to = Math.min(bytes.length, from + settings.batchBytes());
+        byte[] part = Arrays.copyOfRange(bytes, from, to);
+        return new SnapshotRequest(groupId, term, leader, lastIndex, from, part, to == bytes.length);
+    }
+
+    /** Takes a peer's answer to entries or to a part of a snapshot. */
+    void progress(PeerProgress peer, Outgoing question, Reply reply) {
+        peer.answeredAtMs = Math.max(peer.answeredAtMs, question.sentAtMs());
+        if (reply instanceof AppendReply append && append.success()) {
+            peer.matchIndex = Math.max(peer.matchIndex, append.index());
+            peer.nextIndex = peer.matchIndex + 1;
+        } else if (reply instanceof AppendReply append) {
+            long lower = Math.min(peer.nextIndex - 1, append.index() + 1);
+            peer.nextIndex = Math.max(peer.matchIndex + 1, lower);
+        } else if (reply instanceof SnapshotReply part) {
+            peer.snapshotOffset = part.nextOffsetBytes();
+            if (part.installed() && question.request() instanceof SnapshotRequest sent) {
+                peer.matchIndex = Math.max(peer.matchIndex, sent.lastIndex());
+                peer.nextIndex = peer.matchIndex + 1;
+            }
+        }
+    }
+
+    /** Returns the highest index that a majority of the members has on disk. */
+    long majorityMatchIndex() {
+        List<Long> indexes = new ArrayList<>();
+        for (Member member : replica.members().members()) {
+            boolean own = member.id().equals(ownId);
+            indexes.add(own ? replica.store.lastIndex() : matchIndex(member.id()));
+        }
+        indexes.sort(Collections.reverseOrder());
+        return indexes.isEmpty() ? 0 : indexes.get(replica.members().majority() - 1);
+    }
+
+    /** Returns the latest time since which a majority of the members has answered. */
+    double majorityAnsweredAtMs(double nowMs) {
+        List<Double> times = new ArrayList<>();
+        for (Member member : replica.members().members()) {
+            PeerProgress peer = peers.get(member.id());
+            times.add(peer == null ? nowMs : peer.answeredAtMs);
+        }
+        times.sort(Collections.reverseOrder());
+        return times.isEmpty()
+                ? Double.NEGATIVE_INFINITY
+                : times.get(replica.members().majority() - 1);
+    }
+}
--- /dev/null
+++ b/sequoianotch-control/src/main/java/org/sequoianotch/control/group/RaftMember.java
@@ -0,0 +1,565 @@
+package org.sequoianotch.control.group;
+
+import io.vavr.control.Either;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.jspecify.annotations.Nullable;
+import org.sequoianotch.control.group.GroupMessage.AppendReply;
+import org.sequoianotch.control.group.GroupMessage.AppendRequest;
+import org.sequoianotch.control.group.GroupMessage.Declined;
+import org.sequoianotch.control.group.GroupMessage.Reply;
+import org.sequoianotch.control.group.GroupMessage.Request;
+import org.sequoianotch.control.group.GroupMessage.SnapshotReply;
+import org.sequoianotch.control.group.GroupMessage.SnapshotRequest;
+import org.sequoianotch.control.group.GroupMessage.VoteReply;
+import org.sequoianotch.control.group.GroupMessage.VoteRequest;
+import org.sequoianotch.control.log.EntryKind;
+import org.sequoianotch.control.log.MemberStore;
+import org.sequoianotch.control.state.ControlError;
+import org.sequoianotch.error.Failure;
+import org.sequoianotch.time.Clock;
+
+/**
+ * One member of a group that agrees on a log, by the protocol published as Raft.
+ *
+ * <p>This class decides and stores, but sends nothing: {@link #next} returns the next question for a peer,
+ * {@link #answered} and {@link #lost} take its fate, {@link #handle} answers the questions of others, and {@link #tick}
+ * lets time pass. It reads the time from the clock only, so that tests can drive it step by step. It is thread-safe;
+ * all state is behind one lock.
+ *
+ * <p>After a failure of the data folder, or a defect, the member takes no part any more, because it could break a
+ * promise that it gave.
+ */
+public final class RaftMember {
+    private static final Logger LOGGER = LogManager.getLogger(RaftMember.class);
+
+    private final GroupSettings settings;
+    private final Clock clock;
+    private final Random random;
+    private final Replica replica;
+    private final String ownId;
+    private final PeerTable peers;
+    private final SnapshotInbox inbox = new SnapshotInbox();
+    private final Set<String> votes = new HashSet<>();
+    private Role role = Role.FOLLOWER;
+    private @Nullable Member leader;
+    /** When a leader was last heard; votes are refused for an election timeout after it. */
+    private double heardAtMs;
+
+    private double electionDueMs;
+    private double leadsSinceMs;
+    private long termStartIndex;
+    private String fault = "";
+
+    /**
+     * Creates a member from its store. It starts as a follower that refuses votes for one election timeout, because it
+     * may have promised a leader to do so before it stopped.
+     *
+     * @param store the open store; not null
+     * @param machine the replicated state; not null
+     * @param settings the limits; not null
+     * @param clock the clock; not null
+     * @param random source of the election timeouts; not null
+     */
+    public RaftMember(MemberStore store, StateMachine machine, GroupSettings settings, Clock clock, Random random) {
+        this.settings = settings;
+        this.clock = clock;
+        this.random = random;
+        this.replica = new Replica(store, machine);
+        this.ownId = store.memberId();
+        this.peers = new PeerTable(ownId, settings, replica);
+        peers.refresh();
+        heardAtMs = clock.monotonicMs();
+        postponeElection();
+    }
+
+    /**
+     * Forms a group. Only one member of a new group does this, and only while its log is empty.
+     *
+     * @param founders the members, with this one among them; not null
+     */
+    public synchronized void form(MemberSet founders) {
+        guarded(false, () -> {
+            if (isFormed()) {
+                throw new IllegalStateException("the member already belongs to a group");
+            }
+            replica.append(0, EntryKind.MEMBERS, founders.toBytes());
+            peers.refresh();
+            LOGGER.info("[control] Formed control group {} of {}.", founders.groupId(), founders.members());
+            return true;
+        });
+    }
+
+    /**
+     * Tells whether this member has anything of a group's log.
+     *
+     * @return true if it belongs to a group
+     */
+    public synchronized boolean isFormed() {
+        return replica.store.lastIndex() > 0;
+    }
+
+    /** Lets time pass: starts elections, gives up leadership without a majority, and compacts the log. */
+    public synchronized void tick() {
+        guarded(false, () -> {
+            double nowMs = clock.monotonicMs();
+            if (role == Role.LEADER) {
+                double contactMs = Math.max(peers.majorityAnsweredAtMs(nowMs), leadsSinceMs);
+                if (contactMs + settings.electionTimeoutMs() < nowMs) {
+                    stepDown(term(), "no majority answers");
+                }
+            } else if (nowMs >= electionDueMs && isVoter()) {
+                startPreVote();
+            }
+            boolean lagging = role == Role.LEADER && peers.someLag();
+            replica.compact(lagging ? settings.snapshotEntries() * 2L : settings.snapshotEntries());
+            return true;
+        });
+    }
+
+    private void startPreVote() {
+        startRound(Role.PRE_CANDIDATE);
+        if (votes.size() >= replica.members().majority()) {
+            startElection();
+        }
+    }
+
+    private void startElection() {
+        replica.store.saveVote(term() + 1, ownId);
+        startRound(Role.CANDIDATE);
+        if (votes.size() >= replica.members().majority()) {
+            lead();
+        }
+    }
+
+    private void startRound(Role newRole) {
+        role = newRole;
+        leader = null;
+        votes.clear();
+        votes.add(ownId);
+        peers.reset();
+        postponeElection();
+        notifyAll();
+    }
+
+    private void lead() {
+        role = Role.LEADER;
+        leader = replica.members().member(ownId).orElse(null);
+        leadsSinceMs = clock.monotonicMs();
+        peers.reset();
+        termStartIndex = replica.append(term(), EntryKind.NO_OP, new byte[0]);
+        LOGGER.info("[control] Member {} leads the control group in term {}.", ownId, term());
+        commitByMajority();
+        notifyAll();
+    }
+
+    private void stepDown(long newTerm, String reason) {
+        if (newTerm > term()) {
+            replica.store.saveVote(newTerm, "");
+        }
+        if (role == Role.LEADER) {
+            LOGGER.info("[control] Member {} no longer leads the control group: {}.", ownId, reason);
+            replica.failPending("The leader stepped down: " + reason + ".");
+            peers.clearLearners();
+        }
+        if (role != Role.FOLLOWER) {
+            role = Role.FOLLOWER;
+            leader = null;
+            peers.reset();
+            postponeElection();
+        }
+        notifyAll();
+    }
+
+    private void postponeElection() {
+        electionDueMs = clock.monotonicMs() + settings.electionTimeoutMs() * (1 + random.nextDouble());
+    }
+
+    private boolean isVoter() {
+        return replica.members().member(ownId).isPresent();
+    }
+
+    private long term() {
+        return replica.store.term();
+    }
+
+    /**
+     * Answers a question of another member.
+     *
+     * @param targetId the member that the question is meant for; not null
+     * @param request the question; not null
+     * @return the answer, never null
+     */
+    public synchronized Reply handle(String targetId, Request request) {
+        if (!targetId.equals(ownId)) {
+            return new Declined("this host is member " + ownId + ", not member " + targetId);
+        }
+        String groupId = replica.members().groupId();
+        if (!groupId.isEmpty() && !groupId.equals(request.groupId())) {
+            return new Declined("this host belongs to group " + groupId + ", not to group " + request.groupId());
+        }
+        Reply reply = guarded(null, () -> switch (request) {
+            case VoteRequest vote -> vote(vote);
+            case AppendRequest append -> append(append);
+            case SnapshotRequest part -> snapshotPart(part);
+        });
+        return reply == null ? new Declined(fault) : reply;
+    }
+
+    private VoteReply vote(VoteRequest request) {
+        double nowMs = clock.monotonicMs();
+        boolean hasLeader = role == Role.LEADER || heardAtMs + settings.electionTimeoutMs() > nowMs;
+        if (hasLeader || !replica.isUpToDate(request.lastIndex(), request.lastTerm())) {
+            // The term is not taken over: a member that cannot win must not disturb a leader that others follow.
+            return new VoteReply(term(), false);
+        }
+        if (request.preVote()) {
+            return new VoteReply(term(), request.term() > term());
+        }
+        if (request.term() > term()) {
+            stepDown(request.term(), "member " + request.candidateId() + " started a later term");
+        }
+        String votedFor = replica.store.votedFor();
+        boolean granted = request.term() == term() && (votedFor.isEmpty() || votedFor.equals(request.candidateId()));
+        if (granted) {
+            if (votedFor.isEmpty()) {
+                replica.store.saveVote(term(), request.candidateId());
+            }
+            postponeElection();
+        }
+        return new VoteReply(term(), granted);
+    }
+
+    private Reply append(AppendRequest request) {
+        if (request.term() < term()) {
+            return new AppendReply(term(), false, 0);
+        }
+        follow(request.term(), request.leader());
+        AppendReply reply = replica.accept(request, term());
+        peers.refresh();
+        return reply;
+    }
+
+    private Reply snapshotPart(SnapshotRequest request) {
+        if (request.term() < term()) {
+            return new SnapshotReply(term(), 0, false);
+        }
+        follow(request.term(), request.leader());
+        if (request.lastIndex() <= replica.commitIndex()) {
+            return new SnapshotReply(term(), 0, true);
+        }
+        boolean complete = inbox.add(request);
+        if (complete) {
+            replica.install(inbox.take());
+            peers.refresh();
+            LOGGER.info("[control] Installed a snapshot up to entry {}.", request.lastIndex());
+        }
+        return new SnapshotReply(term(), inbox.nextOffset(), complete);
+    }
+
+    private void follow(long leaderTerm, Member newLeader) {
+        if (leaderTerm > term() || role != Role.FOLLOWER) {
+            stepDown(leaderTerm, "member " + newLeader.id() + " leads term " + leaderTerm);
+        }
+        leader = newLeader;
+        heardAtMs = clock.monotonicMs();
+        postponeElection();
+    }
+
+    /**
+     * Returns the next question to send to a peer. At most one question to a peer is open at a time.
+     *
+     * @param peerId the peer; not null
+     * @return the question, or empty if nothing is to be sent now
+     */
+    public synchronized Optional<Outgoing> next(String peerId) {
+        return guarded(Optional.empty(), () -> peers.next(peerId, clock.monotonicMs(), this::requestFor));
+    }
+
+    private Optional<Request> requestFor(PeerProgress peer, double nowMs) {
+        return switch (role) {
+            case FOLLOWER -> Optional.empty();
+            case PRE_CANDIDATE -> voteRequest(peer, term() + 1, true);
+            case CANDIDATE -> voteRequest(peer, term(), false);
+            case LEADER -> leader == null ? Optional.empty() : peers.appendRequest(peer, leader, nowMs);
+        };
+    }
+
+    private Optional<Request> voteRequest(PeerProgress peer, long electionTerm, boolean preVote) {
+        if (peer.askedForVote || !peer.voter) {
+            return Optional.empty();
+        }
+        peer.askedForVote = true;
+        long lastIndex = replica.store.lastIndex();
+        return Optional.of(new VoteRequest(
+                replica.members().groupId(), electionTerm, ownId, lastIndex, replica.store.termAt(lastIndex), preVote));
+    }
+
+    /**
+     * Waits until a question for a peer is to be sent.
+     *
+     * @param peerId the peer; not null
+     * @param maxWaitMs longest wait in milliseconds; positive
+     * @return the question, or empty if there was none within the time
+     * @throws InterruptedException if the thread is interrupted
+     */
+    public synchronized Optional<Outgoing> awaitNext(String peerId, long maxWaitMs) throws InterruptedException {
+        Optional<Outgoing> question = next(peerId);
+        if (question.isEmpty()) {
+            wait(maxWaitMs);
+            question = next(peerId);
+        }
+        return question;
+    }
+
+    /**
+     * Takes the answer to a question. An answer that comes after the next question was made is ignored.
+     *
+     * @param question what {@link #next} returned; not null
+     * @param reply the answer; not null
+     */
+    public synchronized void answered(Outgoing question, Reply reply) {
+        guarded(false, () -> {
+            Optional<PeerProgress> open = peers.close(question, !(reply instanceof Declined));
+            if (open.isEmpty() || reply instanceof Declined) {
+                return false;
+            }
+            if (reply.term() > term()) {
+                stepDown(reply.term(), "member " + question.peer().id() + " is in a later term");
+            } else if (reply instanceof VoteReply vote) {
+                countVote(question, vote);
+            } else if (role == Role.LEADER && reply.term() == term()) {
+                peers.progress(open.get(), question, reply);
+                commitByMajority();
+            }
+            notifyAll();
+            return true;
+        });
+    }
+
+    /**
+     * Takes note that no answer to a question comes.
+     *
+     * @param question what {@link #next} returned; not null
+     */
+    public synchronized void lost(Outgoing question) {
+        guarded(false, () -> peers.close(question, false).isPresent());
+    }
+
+    private void countVote(Outgoing question, VoteReply reply) {
+        boolean preVote = question.request() instanceof VoteRequest request && request.preVote();
+        boolean thisRound = role == (preVote ? Role.PRE_CANDIDATE : Role.CANDIDATE);
+        if (!thisRound || !reply.granted()) {
+            return;
+        }
+        votes.add(question.peer().id());
+        if (votes.size() >= replica.members().majority()) {
+            if (preVote) {
+                startElection();
+            } else {
+                lead();
+            }
+        }
+    }
+
+    private void commitByMajority() {
+        long index = peers.majorityMatchIndex();
+        if (index > replica.commitIndex() && replica.store.termAt(index) == term()) {
+            replica.commitTo(index);
+        }
+        if (replica.membersCommitted() && !isVoter()) {
+            stepDown(term(), "it was removed from the group");
+        }
+    }
+
+    /**
+     * Proposes a change as the leader.
+     *
+     * @param proposal called under the lock; returns on the left an answer that needs no entry, on the right the data
+     *     of the entry; not null
+     * @return the answer to come: that of the state machine once the entry is committed, or a failure that leaves open
+     *     whether it will be; never null
+     */
+    public synchronized CompletableFuture<Either<Failure, byte[]>> propose(Supplier<Either<byte[], byte[]>> proposal) {
+        if (!holdsLease()) {
+            return CompletableFuture.completedFuture(Either.left(notLeading()));
+        }
+        // Not guarded: a defect in the check of one change must not stop the member.
+        Either<byte[], byte[]> decided = proposal.get();
+        if (decided.isLeft()) {
+            return CompletableFuture.completedFuture(Either.right(decided.getLeft()));
+        }
+        return guarded(
+                CompletableFuture.completedFuture(Either.left(ControlError.ANSWER_LOST.failure(""))),
+                () -> proposeEntry(EntryKind.CHANGE, decided.get()));
+    }
+
+    private CompletableFuture<Either<Failure, byte[]>> proposeEntry(EntryKind kind, byte[] data) {
+        CompletableFuture<Either<Failure, byte[]>> answer = replica.appendAndAwait(term(), kind, data);
+        peers.refresh();
+        commitByMajority();
+        notifyAll();
+        return answer;
+    }
+
+    /**
+     * Sends the log to a host that is not a member yet, so that it can catch up before it votes.
+     *
+     * @param learner the host with its identity; not null
+     * @return nothing, or the failure if this member does not lead
+     */
+    public synchronized Either<Failure, Boolean> addLearner(Member learner) {
+        if (!holdsLease()) {
+            return Either.left(notLeading());
+        }
+        peers.addLearner(learner);
+        notifyAll();
+        return Either.right(true);
+    }
+
+    /**
+     * Tells whether a learner has every entry that is committed.
+     *
+     * @param memberId the identity; not null
+     * @return true if it may become a member
+     */
+    public synchronized boolean hasCaughtUp(String memberId) {
+        return holdsLease() && peers.matchIndex(memberId) >= replica.commitIndex();
+    }
+
+    /**
+     * Adds or removes one member as the leader. One change at a time: the one before must be committed.
+     *
+     * @param added the member to add, or null
+     * @param removedId the identity to remove, or empty; not null
+     * @return the answer to come, empty bytes once the change is committed; never null
+     */
+    public synchronized CompletableFuture<Either<Failure, byte[]>> changeMembers(
+            @Nullable Member added, String removedId) {
+        if (!holdsLease()) {
+            return CompletableFuture.completedFuture(Either.left(notLeading()));
+        }
+        if (!replica.membersCommitted()) {
+            return CompletableFuture.completedFuture(Either.left(
+                    ControlError.MEMBERS_NOT_CHANGED.failure("Another change of the members is not committed yet.")));
+        }
+        if (added != null && peers.matchIndex(added.id()) < replica.commitIndex()) {
+            return CompletableFuture.completedFuture(
+                    Either.left(ControlError.MEMBERS_NOT_CHANGED.failure("The new member has not caught up.")));
+        }
+        MemberSet changed =
+                added == null ? replica.members() : replica.members().plus(added);
+        MemberSet target = changed.minus(removedId);
+        if (target.members().isEmpty() || target.equals(replica.members())) {
+            return CompletableFuture.completedFuture(
+                    Either.left(ControlError.MEMBERS_NOT_CHANGED.failure("There is no such change to make.")));
+        }
+        return guarded(
+                CompletableFuture.completedFuture(Either.left(ControlError.ANSWER_LOST.failure(""))),
+                () -> proposeEntry(EntryKind.MEMBERS, target.toBytes()));
+    }
+
+    /**
+     * Reads the state as current, which only a leader with its lease can.
+     *
+     * @param <T> type of the result
+     * @param reader called under the lock; not null
+     * @return the result, or the failure if this member does not lead
+     */
+    public synchronized <T> Either<Failure, T> readCurrent(Supplier<T> reader) {
+        return holdsLease() ? Either.right(reader.get()) : Either.left(notLeading());
+    }
+
+    /**
+     * Reads the state as it is known here, which is not necessarily the current one.
+     *
+     * @param <T> type of the result
+     * @param reader called under the lock; not null
+     * @return the result
+     */
+    public synchronized <T> T inspect(Supplier<T> reader) {
+        return reader.get();
+    }
+
+    /** Takes no part in the group any more, before the store is closed. */
+    public synchronized void stop() {
+        if (fault.isEmpty()) {
+            withdraw("the member is stopped");
+        }
+    }
+
+    private void withdraw(String reason) {
+        fault = reason;
+        role = Role.FOLLOWER;
+        leader = null;
+        replica.failPending(reason);
+        notifyAll();
+    }
+
+    private Failure notLeading() {
+        return fault.isEmpty() ? ControlError.NO_LEADER.failure("") : ControlError.STORAGE_FAILED.failure(fault);
+    }
+
+    /** Tells whether this member may answer as current: it has a majority's answers and its state is complete. */
+    private boolean holdsLease() {
+        return leaseLeftMs() > 0 && replica.commitIndex() >= termStartIndex;
+    }
+
+    private double leaseLeftMs() {
+        double nowMs = clock.monotonicMs();
+        return role == Role.LEADER && fault.isEmpty()
+                ? peers.majorityAnsweredAtMs(nowMs) + settings.leaseMs() - nowMs
+                : 0;
+    }
+
+    /**
+     * Returns the peers that questions may be sent to.
+     *
+     * @return the peers, never null
+     */
+    public synchronized Collection<Member> peers() {
+        return List.copyOf(peers.members());
+    }
+
+    /**
+     * Returns the state of this member.
+     *
+     * @return the state, never null
+     */
+    public synchronized GroupStatus status() {
+        boolean heard = leader != null && heardAtMs + settings.electionTimeoutMs() > clock.monotonicMs();
+        return new GroupStatus(
+                ownId,
+                role,
+                term(),
+                Optional.ofNullable(leader),
+                replica.commitIndex(),
+                replica.store.lastIndex(),
+                (long) Math.max(0, leaseLeftMs()),
+                fault.isEmpty() && (role == Role.LEADER ? holdsLease() : heard),
+                replica.members(),
+                fault);
+    }
+
+    /** Runs a decision. After a failure of the folder or a defect the member takes no part any more. */
+    private <T extends @Nullable Object> T guarded(T whenFaulty, Supplier<T> decision) {
+        if (!fault.isEmpty()) {
+            return whenFaulty;
+        }
+        try {
+            return decision.get();
+        } catch (RuntimeException e) {
+            LOGGER.error("[control] Member {} takes no part in the control group any more.", ownId, e);
+            withdraw(String.valueOf(e.getMessage()));
+            return whenFaulty;
+        }
+    }
+}
--- /dev/null
+++ b/sequoianotch-control/src/main/java/org/sequoianotch/control/log/DiskFolder.java
@@ -0,0 +1,164 @@
+package org.sequoianotch.control.log;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.channels.FileLock;
+import java.nio.channels.OverlappingFileLockException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.nio.file.StandardOpenOption;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * Storage folder on the host's disk, locked against use by a second process.
+ *
+ * <p>This class is not thread-safe.
+ */
+public final class DiskFolder implements StorageFolder {
+    private static final String LOCK_FILE = "lock";
+    private static final String TEMPORARY_SUFFIX = ".new";
+
+    private final Path folder;
+    private final FileChannel lockChannel;
+    private final Map<String, FileChannel> appendChannels = new HashMap<>();
+
+    private DiskFolder(Path folder, FileChannel lockChannel) {
+        this.folder = folder;
+        this.lockChannel = lockChannel;
+    }
+
+    /**
+     * Opens a folder, creates it if necessary, and locks it.
+     *
+     * @param folder the folder; not null
+     * @return the open folder, never null
+     * @throws StorageException if the folder cannot be opened or another process uses it
+     */
+    public static DiskFolder open(Path folder) {
+        try {
+            Files.createDirectories(folder);
+            FileChannel channel =
+                    FileChannel.open(folder.resolve(LOCK_FILE), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
+            if (!lock(channel)) {
+                channel.close();
+                throw new StorageException("the data folder " + folder + " is in use by another process");
+            }
+            return new DiskFolder(folder, channel);
+        } catch (IOException e) {
+            throw new StorageException("the data folder " + folder + " cannot be opened: " + e, e);
+        }
+    }
+
+    private static boolean lock(FileChannel channel) throws IOException {
+        try {
+            FileLock lock = channel.tryLock();
+            return lock != null;
+        } catch (OverlappingFileLockException e) {
+            return false;
+        }
+    }
+
+    @Override
+    public Optional<byte[]> read(String name) {
+        Path file = folder.resolve(name);
+        try {
+            return Files.exists(file) ? Optional.of(Files.readAllBytes(file)) : Optional.empty();
+        } catch (IOException e) {
+            throw new StorageException("the file " + file + " cannot be read: " + e, e);
+        }
+    }
+
+    @Override
+    public void replace(String name, byte[] content) {
+        Path file = folder.resolve(name);
+        Path temporary = folder.resolve(name + TEMPORARY_SUFFIX);
+        try {
+            closeAppendChannel(name);
+            try (FileChannel channel = FileChannel.open(
+                    temporary,
+                    StandardOpenOption.CREATE,
+                    StandardOpenOption.TRUNCATE_EXISTING,
+                    StandardOpenOption.WRITE)) {
+                writeAll(channel, content);
+                channel.force(true);
+            }
+            Files.move(temporary, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+            syncFolder();
+        } catch (IOException e) {
+            throw new StorageException("the file " + file + " cannot be replaced: " + e, e);
+        }
+    }
+
+    @Override
+    public void append(String name, byte[] content) {
+        try {
+            FileChannel channel = appendChannel(name);
+            writeAll(channel, content);
+            channel.force(true);
+        } catch (IOException e) {
+            throw new StorageException("the file " + folder.resolve(name) + " cannot be appended to: " + e, e);
+        }
+    }
+
+    @Override
+    public void truncate(String name, long lengthBytes) {
+        try {
+            FileChannel channel = appendChannel(name);
+            channel.truncate(lengthBytes);
+            channel.force(true);
+        } catch (IOException e) {
+            throw new StorageException("the file " + folder.resolve(name) + " cannot be truncated: " + e, e);
+        }
+    }
+
+    @Override
+    public String location() {
+        return folder.toString();
+    }
+
+    @Override
+    public void close() {
+        try {
+            for (FileChannel channel : appendChannels.values()) {
+                channel.close();
+            }
+            appendChannels.clear();
+            lockChannel.close();
+        } catch (IOException e) {
+            throw new StorageException("the data folder " + folder + " cannot be closed: " + e, e);
+        }
+    }
+
+    private FileChannel appendChannel(String name) throws IOException {
+        FileChannel open = appendChannels.get(name);
+        if (open == null) {
+            open = FileChannel.open(folder.resolve(name), StandardOpenOption.WRITE, StandardOpenOption.APPEND);
+            appendChannels.put(name, open);
+        }
+        return open;
+    }
+
+    private void closeAppendChannel(String name) throws IOException {
+        FileChannel open = appendChannels.remove(name);
+        if (open != null) {
+            open.close();
+        }
+    }
+
+    private static void writeAll(FileChannel channel, byte[] content) throws IOException {
+        ByteBuffer buffer = ByteBuffer.wrap(content);
+        while (buffer.hasRemaining()) {
+            channel.write(buffer);
+        }
+    }
+
+    private void syncFolder() throws IOException {
+        try (FileChannel channel = FileChannel.open(folder, StandardOpenOption.READ)) {
+            channel.force(true);
+        }
+    }
+}
--- /dev/null
+++ b/sequoianotch-control/src/main/java/org/sequoianotch/control/log/MemberStore.java
@@ -0,0 +1,334 @@
+package org.sequoianotch.control.log;
+
+import java.io.ByteArrayOutputStream;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.sequoianotch.control.codec.Decoder;
+import org.sequoianotch.control.codec.Encoder;
+
+/**
+ * Everything that one control host must not forget: its identity, term and vote, log and newest snapshot.
+ *
+ * <p>Every change is on disk when the method returns. The log after the snapshot is also kept in memory. This class is
+ * not thread-safe. Every method that writes throws {@link StorageException} if the change is not known to be on disk.
+ */
+public final class MemberStore implements AutoCloseable {
+    private static final Logger LOGGER = LogManager.getLogger(MemberStore.class);
+    private static final String MEMBER_FILE = "member";
+    private static final String VOTE_FILE = "vote";
+    private static final String LOG_FILE = "log";
+    private static final String SNAPSHOT_FILE = "snapshot";
+
+    private final StorageFolder folder;
+    private final List<LogEntry> entries = new ArrayList<>();
+    private final List<Long> offsets = new ArrayList<>();
+    private String memberId = "";
+    private long logBytes;
+    private long term;
+    private String votedFor = "";
+    private Snapshot snapshot = Snapshot.EMPTY;
+
+    private MemberStore(StorageFolder folder) {
+        this.folder = folder;
+    }
+
+    /**
+     * Opens the store, and creates it with a new identity if the folder is empty.
+     *
+     * @param folder the folder; not null
+     * @param newMemberId the identity if the folder has none; not null
+     * @return the open store, never null
+     * @throws StorageException if a file is corrupt or missing
+     */
+    public static MemberStore open(StorageFolder folder, String newMemberId) {
+        MemberStore store = new MemberStore(folder);
+        store.readSnapshot();
+        store.readVote();
+        store.readLog();
+        store.readMemberId(newMemberId);
+        return store;
+    }
+
+    private void readSnapshot() {
+        Optional<byte[]> content = folder.read(SNAPSHOT_FILE);
+        if (content.isPresent()) {
+            byte[] payload = RecordFrame.single(path(SNAPSHOT_FILE), content.get());
+            snapshot = decode(SNAPSHOT_FILE, 0, () -> Snapshot.of(payload));
+        }
+    }
+
+    private void readVote() {
+        Optional<byte[]> content = folder.read(VOTE_FILE);
+        if (content.isPresent()) {
+            Decoder decoder = new Decoder(RecordFrame.single(path(VOTE_FILE), content.get()));
+            term = decode(VOTE_FILE, 0, decoder::number);
+            votedFor = decode(VOTE_FILE, 0, decoder::text);
+        }
+    }
+
+    private void readLog() {
+        byte[] content = folder.read(LOG_FILE).orElse(new byte[0]);
+        RecordFrame.Scan scan = RecordFrame.scan(path(LOG_FILE), content);
+        if (scan.completeBytes() < content.length) {
+            LOGGER.warn(
+                    "[control] The file {} ends with an incomplete record at offset {}; the record is removed.",
+                    path(LOG_FILE),
+                    scan.completeBytes());
+            folder.truncate(LOG_FILE, scan.completeBytes());
+        }
+        logBytes = scan.completeBytes();
+        if (content.length == 0) {
+            return;
+        }
+        long baseIndex = readBase(scan);
+        long expectedIndex = baseIndex + 1;
+        for (int i = 1; i < scan.payloads().size(); i++) {
+            long offset = scan.offsets().get(i);
+            byte[] payload = scan.payloads().get(i);
+            LogEntry entry = decode(LOG_FILE, offset, () -> LogEntry.decode(new Decoder(payload)));
+            if (entry.index() != expectedIndex) {
+                throw new StorageException("the file " + path(LOG_FILE) + " is corrupt at offset " + offset
+                        + ": it has entry " + entry.index() + " where entry " + expectedIndex + " belongs");
+            }
+            expectedIndex = entry.index() + 1;
+            entries.add(entry);
+            offsets.add(offset);
+        }
+        dropEntriesInSnapshot(baseIndex);
+    }
+
+    /** Returns the index of the entry that the log follows; the snapshot must reach it. */
+    private long readBase(RecordFrame.Scan scan) {
+        if (scan.payloads().isEmpty()) {
+            throw new StorageException(
+                    "the file " + path(LOG_FILE) + " is corrupt at offset 0: its head is incomplete");
+        }
+        long baseIndex = decode(LOG_FILE, 0, () -> new Decoder(scan.payloads().get(0)).number());
+        if (baseIndex > snapshot.lastIndex()) {
+            throw new StorageException("the file " + path(LOG_FILE) + " follows entry " + baseIndex
+                    + ", but the snapshot ends with entry " + snapshot.lastIndex());
+        }
+        return baseIndex;
+    }
+
+    private void dropEntriesInSnapshot(long baseIndex) {
+        long covered = snapshot.lastIndex() - baseIndex;
+        if (covered == 0) {
+            return;
+        }
+        // The process stopped after a snapshot was renamed into place and before the log was compacted.
+        if (covered <= entries.size() && entries.get((int) covered - 1).term() == snapshot.lastTerm()) {
+            entries.subList(0, (int) covered).clear();
+        } else {
+            entries.clear();
+        }
+        rewriteLog();
+    }
+
+    private void readMemberId(String newMemberId) {
+        Optional<byte[]> content = folder.read(MEMBER_FILE);
+        if (content.isPresent()) {
+            Decoder decoder = new Decoder(RecordFrame.single(path(MEMBER_FILE), content.get()));
+            memberId = decode(MEMBER_FILE, 0, decoder::text);
+            for (String name : List.of(VOTE_FILE, LOG_FILE)) {
+                if (folder.read(name).isEmpty()) {
+                    throw new StorageException("the file " + path(name) + " is missing, but the folder has the identity"
+                            + " of member " + memberId + "; empty the folder to join as a new member");
+                }
+            }
+            return;
+        }
+        if (term > 0 || lastIndex() > 0) {
+            throw new StorageException("the file " + path(MEMBER_FILE) + " is missing, but the folder has a vote or a"
+                    + " log; empty the folder to join as a new member");
+        }
+        // The identity is written last: a folder that has it is complete.
+        saveVote(0, "");
+        rewriteLog();
+        folder.replace(
+                MEMBER_FILE, RecordFrame.frame(new Encoder().text(newMemberId).toBytes()));
+        memberId = newMemberId;
+    }
+
+    /**
+     * Returns the identity of this member, which belongs to the folder and not to the host.
+     *
+     * @return the identity, never null
+     */
+    public String memberId() {
+        return memberId;
+    }
+
+    /**
+     * Returns the current term.
+     *
+     * @return the term
+     */
+    public long term() {
+        return term;
+    }
+
+    /**
+     * Returns the member that has this member's vote in the current term.
+     *
+     * @return the identity, empty if there is none
+     */
+    public String votedFor() {
+        return votedFor;
+    }
+
+    /**
+     * Stores the current term and vote.
+     *
+     * @param newTerm the term
+     * @param newVote the member voted for, empty for none; not null
+     */
+    public void saveVote(long newTerm, String newVote) {
+        folder.replace(
+                VOTE_FILE,
+                RecordFrame.frame(new Encoder().number(newTerm).text(newVote).toBytes()));
+        term = newTerm;
+        votedFor = newVote;
+    }
+
+    /**
+     * Returns the newest snapshot.
+     *
+     * @return the snapshot, never null
+     */
+    public Snapshot snapshot() {
+        return snapshot;
+    }
+
+    /**
+     * Returns the index of the last entry.
+     *
+     * @return the index, zero if there is none
+     */
+    public long lastIndex() {
+        return snapshot.lastIndex() + entries.size();
+    }
+
+    /**
+     * Returns the term of an entry that is in the log, or is the last of the snapshot.
+     *
+     * @param index the index, from the snapshot's last index to {@link #lastIndex}
+     * @return the term
+     */
+    public long termAt(long index) {
+        return index == snapshot.lastIndex()
+                ? snapshot.lastTerm()
+                : entry(index).term();
+    }
+
+    /**
+     * Returns an entry after the snapshot.
+     *
+     * @param index the index, after the snapshot's last index and up to {@link #lastIndex}
+     * @return the entry, never null
+     */
+    public LogEntry entry(long index) {
+        return entries.get((int) (index - snapshot.lastIndex() - 1));
+    }
+
+    /**
+     * Appends entries and syncs them together.
+     *
+     * @param added entries that follow the last one; not null
+     */
+    public void append(List<LogEntry> added) {
+        if (added.isEmpty()) {
+            return;
+        }
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        List<Long> addedOffsets = new ArrayList<>();
+        long expectedIndex = lastIndex() + 1;
+        for (LogEntry entry : added) {
+            if (entry.index() != expectedIndex++) {
+                throw new IllegalArgumentException("entry " + entry.index() + " does not follow the log");
+            }
+            addedOffsets.add(logBytes + bytes.size());
+            bytes.writeBytes(frame(entry));
+        }
+        folder.append(LOG_FILE, bytes.toByteArray());
+        entries.addAll(added);
+        offsets.addAll(addedOffsets);
+        logBytes += bytes.size();
+    }
+
+    /**
+     * Removes an entry and everything after it.
+     *
+     * @param index index of the first entry to remove, after the snapshot
+     */
+    public void truncateFrom(long index) {
+        int position = (int) (index - snapshot.lastIndex() - 1);
+        long offset = offsets.get(position);
+        folder.truncate(LOG_FILE, offset);
+        logBytes = offset;
+        entries.subList(position, entries.size()).clear();
+        offsets.subList(position, offsets.size()).clear();
+    }
+
+    /**
+     * Stores a snapshot and removes from the log what it includes. Entries after it stay only if they follow it.
+     *
+     * @param newSnapshot a snapshot that ends after the present one; not null
+     */
+    public void saveSnapshot(Snapshot newSnapshot) {
+        long index = newSnapshot.lastIndex();
+        boolean follows = index <= lastIndex() && termAt(index) == newSnapshot.lastTerm();
+        folder.replace(SNAPSHOT_FILE, RecordFrame.frame(newSnapshot.toBytes()));
+        if (follows) {
+            entries.subList(0, (int) (index - snapshot.lastIndex())).clear();
+        } else {
+            entries.clear();
+        }
+        snapshot = newSnapshot;
+        rewriteLog();
+    }
+
+    private void rewriteLog() {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        bytes.writeBytes(
+                RecordFrame.frame(new Encoder().number(snapshot.lastIndex()).toBytes()));
+        offsets.clear();
+        for (LogEntry entry : entries) {
+            offsets.add((long) bytes.size());
+            bytes.writeBytes(frame(entry));
+        }
+        folder.replace(LOG_FILE, bytes.toByteArray());
+        logBytes = bytes.size();
+    }
+
+    private static byte[] frame(LogEntry entry) {
+        Encoder encoder = new Encoder();
+        entry.encode(encoder);
+        return RecordFrame.frame(encoder.toBytes());
+    }
+
+    private interface Reading<T> {
+        T read();
+    }
+
+    private <T> T decode(String name, long offset, Reading<T> reading) {
+        try {
+            return reading.read();
+        } catch (IllegalArgumentException e) {
+            throw new StorageException(
+                    "the file " + path(name) + " is corrupt at offset " + offset + ": " + e.getMessage(), e);
+        }
+    }
+
+    private String path(String name) {
+        return folder.location() + "/" + name;
+    }
+
+    @Override
+    public void close() {
+        folder.close();
+    }
+}
--- /dev/null
+++ b/sequoianotch-control/src/main/java/org/sequoianotch/control/log/RecordFrame.java
@@ -0,0 +1,104 @@
+package org.sequoianotch.control.log;
+
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.zip.CRC32C;
+
+/**
+ * Framing of records in files.
+ *
+ * <p>A record is its length (4 bytes), the CRC-32C of the length (4), the CRC-32C of the payload (4), the payload and
+ * an end mark that is not zero. The checksum of the length tells a damaged length from a record that was cut off: only
+ * a record that reaches beyond the end of the file, or whose rest is zeros because the file grew before its data was
+ * written, is incomplete. Everything else that does not match is corrupt.
+ */
+final class RecordFrame {
+    static final int HEADER_BYTES = 12;
+    private static final byte END_MARK = 0x5A;
+
+    /** Complete records of a file with the offset of each, and the length up to which the file is complete. */
+    record Scan(List<byte[]> payloads, List<Long> offsets, long completeBytes) {}
+
+    private RecordFrame() {}
+
+    static byte[] frame(byte[] payload) {
+        byte[] lengthBytes = ByteBuffer.allocate(4).putInt(payload.length).array();
+        return ByteBuffer.allocate(HEADER_BYTES + payload.length + 1)
+                .put(lengthBytes)
+                .putInt(checksum(lengthBytes, 0, 4))
+                .putInt(checksum(payload, 0, payload.length))
+                .put(payload)
+                .put(END_MARK)
+                .array();
+    }
+
+    /** Reads a file that holds exactly one record, which was written and renamed as a whole. */
+    static byte[] single(String file, byte[] content) {
+        Scan scan = scan(file, content);
+        if (scan.payloads().size() != 1 || scan.completeBytes() != content.length) {
+            throw new StorageException("the file " + file + " is corrupt at offset " + scan.completeBytes()
+                    + ": it does not hold exactly one complete record");
+        }
+        return scan.payloads().get(0);
+    }
+
+    static Scan scan(String file, byte[] content) {
+        List<byte[]> payloads = new ArrayList<>();
+        List<Long> offsets = new ArrayList<>();
+        int offset = 0;
+        while (offset < content.length) {
+            int end = endOfRecord(file, content, offset);
+            if (end < 0) {
+                break;
+            }
+            payloads.add(Arrays.copyOfRange(content, offset + HEADER_BYTES, end - 1));
+            offsets.add((long) offset);
+            offset = end;
+        }
+        return new Scan(payloads, offsets, offset);
+    }
+
+    /** Returns the end of the record at the offset, or -1 if the record is incomplete. */
+    private static int endOfRecord(String file, byte[] content, int offset) {
+        if (content.length - offset < HEADER_BYTES || onlyZeros(content, offset)) {
+            return -1;
+        }
+        ByteBuffer buffer = ByteBuffer.wrap(content);
+        int length = buffer.getInt(offset);
+        if (buffer.getInt(offset + 4) != checksum(content, offset, 4) || length < 0) {
+            if (onlyZeros(content, offset + 4)) {
+                return -1;
+            }
+            throw new StorageException(
+                    "the file " + file + " is corrupt at offset " + offset + ": the record's length is damaged");
+        }
+        long end = (long) offset + HEADER_BYTES + length + 1;
+        if (end > content.length || onlyZeros(content, (int) end - 1)) {
+            return -1;
+        }
+        boolean intact = content[(int) end - 1] == END_MARK
+                && buffer.getInt(offset + 8) == checksum(content, offset + HEADER_BYTES, length);
+        if (!intact) {
+            throw new StorageException(
+                    "the file " + file + " is corrupt at offset " + offset + ": the record's checksum does not match");
+        }
+        return (int) end;
+    }
+
+    private static boolean onlyZeros(byte[] content, int from) {
+        for (int i = from; i < content.length; i++) {
+            if (content[i] != 0) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private static int checksum(byte[] bytes, int offset, int length) {
+        CRC32C checksum = new CRC32C();
+        checksum.update(bytes, offset, length);
+        return (int) checksum.getValue();
+    }
+}
--- /dev/null
+++ b/sequoianotch-control/src/main/java/org/sequoianotch/control/state/TemplateState.java
@@ -0,0 +1,258 @@
+package org.sequoianotch.control.state;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import org.sequoianotch.control.codec.Decoder;
+import org.sequoianotch.control.codec.Encoder;
+import org.sequoianotch.control.group.StateMachine;
+import org.sequoianotch.control.state.ChangeResult.Accepted;
+import org.sequoianotch.control.state.ChangeResult.Refused;
+import org.sequoianotch.model.OrganisationName;
+
+/**
+ * Templates of all organisations with their revision, audit record and history of change ids.
+ *
+ * <p>Applying the same entries in the same order gives the same state, byte for byte, on every member: it depends on
+ * nothing but the entries, and the template parser is not used, because it may differ between versions of the program.
+ * {@link #check} validates a change at the leader before it is put into the log. This class is not thread-safe.
+ */
+public final class TemplateState implements StateMachine {
+    /** Largest size of all template texts together; one answer with all of them fits into a frame of 256 KiB. */
+    static final int MAX_TEXT_BYTES = 192 * 1024;
+
+    private static final int FORMAT_VERSION = 1;
+    private static final int MAX_HISTORY = 12_000;
+    private static final int MAX_AUDIT_RECORDS = 12_000;
+    /** Texts of the newest audit records are kept up to this size, about a day of changes of 4 KiB. */
+    private static final long MAX_AUDIT_TEXT_CHARS = 4L * 1024 * 1024;
+
+    private static final int MAX_DIFF_LINES = 40;
+    private static final int MAX_DIFF_LINE_CHARS = 160;
+
+    private record Remembered(String fingerprint, byte[] result) {}
+
+    private long revision;
+    private final SortedMap<OrganisationName, String> texts = new TreeMap<>();
+    private final LinkedHashMap<String, Remembered> history = new LinkedHashMap<>();
+    private final ArrayDeque<AuditRecord> audit = new ArrayDeque<>();
+    private long auditTextChars;
+
+    /** Creates the state before the first change. */
+    public TemplateState() {}
+
+    /**
+     * Encodes a change for the log.
+     *
+     * @param request the change; not null
+     * @param atMs when the leader took it, in milliseconds since the Unix epoch
+     * @return the data of the log entry, never null
+     */
+    public static byte[] entryOf(ChangeRequest request, long atMs) {
+        Encoder encoder = new Encoder().number(atMs);
+        request.encode(encoder);
+        return encoder.toBytes();
+    }
+
+    /**
+     * Returns the answer to a change that needs no log entry: a resend, or a template with problems.
+     *
+     * @param request the change; not null
+     * @return the answer, or empty if the change must be put into the log
+     */
+    public Optional<ChangeResult> check(ChangeRequest request) {
+        Optional<ChangeResult> earlier = earlierResult(request);
+        if (earlier.isPresent()) {
+            return earlier;
+        }
+        // A change for another revision is refused as stale, so that its answer does not depend on when it is checked.
+        boolean current = request.expectedRevision() == revision;
+        List<String> problems = TemplateCheck.problems(request, current ? texts : Map.of());
+        if (problems.isEmpty()) {
+            return Optional.empty();
+        }
+        String detail = problems.size() == 1 ? "There is 1 problem." : "There are " + problems.size() + " problems.";
+        return Optional.of(new Refused(ControlError.INVALID_TEMPLATE, revision, detail, problems));
+    }
+
+    private Optional<ChangeResult> earlierResult(ChangeRequest request) {
+        Remembered remembered = history.get(request.changeId());
+        if (remembered == null) {
+            return Optional.empty();
+        }
+        if (remembered.fingerprint().equals(request.fingerprint())) {
+            return Optional.of(ChangeResult.of(remembered.result()));
+        }
+        return Optional.of(new Refused(
+                ControlError.CHANGE_ID_REUSED, revision, "Use a new change id for each new change.", List.of()));
+    }
+
+    @Override
+    public byte[] apply(byte[] data) {
+        Decoder decoder = new Decoder(data);
+        long atMs = decoder.number();
+        ChangeRequest request = ChangeRequest.decode(decoder);
+        Optional<ChangeResult> earlier = earlierResult(request);
+        if (earlier.isPresent()) {
+            return earlier.get().toBytes();
+        }
+        byte[] result = decide(request, atMs).toBytes();
+        history.put(request.changeId(), new Remembered(request.fingerprint(), result));
+        if (history.size() > MAX_HISTORY) {
+            Iterator<String> oldest = history.keySet().iterator();
+            oldest.next();
+            oldest.remove();
+        }
+        return result;
+    }
+
+    private ChangeResult decide(ChangeRequest request, long atMs) {
+        if (request.expectedRevision() != revision) {
+            return stale(request);
+        }
+        record(new AuditRecord(
+                request.changeId(),
+                request.operator(),
+                atMs,
+                revision,
+                revision + 1,
+                request.organisation(),
+                ChangeRequest.sha256(request.templateText()),
+                request.templateText()));
+        revision++;
+        texts.put(request.organisation(), request.templateText());
+        return new Accepted(revision);
+    }
+
+    private ChangeResult stale(ChangeRequest request) {
+        String current = texts.getOrDefault(request.organisation(), "");
+        List<String> lines = LineDiff.between(current, request.templateText(), MAX_DIFF_LINES).stream()
+                .map(line -> line.length() <= MAX_DIFF_LINE_CHARS ? line : line.substring(0, MAX_DIFF_LINE_CHARS))
+                .toList();
+        return new Refused(ControlError.STALE_REVISION, revision, winner(request.expectedRevision()), lines);
+    }
+
+    private String winner(long expectedRevision) {
+        if (expectedRevision > revision) {
+            return "The change expects revision " + expectedRevision + ", but the newest revision is " + revision + ".";
+        }
+        for (AuditRecord entry : audit) {
+            if (entry.fromRevision() == expectedRevision) {
+                return "Revision " + expectedRevision + " was replaced by revision " + entry.toRevision()
+                        + " by operator " + entry.operator() + " with change " + entry.changeId() + " to organisation "
+                        + entry.organisation() + "; the newest revision is " + revision + ".";
+            }
+        }
+        return "Revision " + expectedRevision + " was replaced long ago; the newest revision is " + revision + ".";
+    }
+
+    private void record(AuditRecord entry) {
+        audit.addLast(entry);
+        auditTextChars += entry.text().length();
+        while (audit.size() > MAX_AUDIT_RECORDS) {
+            auditTextChars -= audit.removeFirst().text().length();
+        }
+        if (auditTextChars > MAX_AUDIT_TEXT_CHARS) {
+            dropOldestTexts();
+        }
+    }
+
+    private void dropOldestTexts() {
+        // Half of the texts go at once, so that the records are not copied with each change.
+        List<AuditRecord> entries = new ArrayList<>(audit);
+        audit.clear();
+        for (AuditRecord entry : entries) {
+            if (auditTextChars > MAX_AUDIT_TEXT_CHARS / 2) {
+                auditTextChars -= entry.text().length();
+                audit.addLast(entry.withoutText());
+            } else {
+                audit.addLast(entry);
+            }
+        }
+    }
+
+    /**
+     * Returns the templates in force.
+     *
+     * @return the texts with their revision, never null
+     */
+    public TemplateTexts texts() {
+        return new TemplateTexts(revision, texts);
+    }
+
+    /**
+     * Returns the current revision.
+     *
+     * @return the revision, zero before the first change
+     */
+    public long revision() {
+        return revision;
+    }
+
+    /**
+     * Returns the newest audit records.
+     *
+     * @param maxRecords the greatest number of records; not negative
+     * @return the records, the newest first, never null
+     */
+    public List<AuditRecord> audit(int maxRecords) {
+        List<AuditRecord> newest = new ArrayList<>();
+        Iterator<AuditRecord> entries = audit.descendingIterator();
+        while (newest.size() < maxRecords && entries.hasNext()) {
+            newest.add(entries.next());
+        }
+        return List.copyOf(newest);
+    }
+
+    @Override
+    public byte[] snapshot() {
+        Encoder encoder = new Encoder().number(FORMAT_VERSION);
+        texts().encode(encoder);
+        encoder.number(history.size());
+        for (Map.Entry<String, Remembered> entry : history.entrySet()) {
+            encoder.text(entry.getKey())
+                    .text(entry.getValue().fingerprint())
+                    .bytes(entry.getValue().result());
+        }
+        encoder.number(audit.size());
+        audit.forEach(entry -> entry.encode(encoder));
+        return encoder.toBytes();
+    }
+
+    @Override
+    public void restore(byte[] snapshot) {
+        revision = 0;
+        texts.clear();
+        history.clear();
+        audit.clear();
+        auditTextChars = 0;
+        if (snapshot.length == 0) {
+            return;
+        }
+        Decoder decoder = new Decoder(snapshot);
+        long version = decoder.number();
+        if (version != FORMAT_VERSION) {
+            throw new IllegalArgumentException(
+                    "the snapshot has format " + version + ", but " + FORMAT_VERSION + " is the only known one");
+        }
+        TemplateTexts restored = TemplateTexts.decode(decoder);
+        revision = restored.revision();
+        texts.putAll(restored.texts());
+        int historyCount = decoder.count();
+        for (int i = 0; i < historyCount; i++) {
+            history.put(decoder.text(), new Remembered(decoder.text(), decoder.bytes()));
+        }
+        int auditCount = decoder.count();
+        for (int i = 0; i < auditCount; i++) {
+            AuditRecord entry = AuditRecord.decode(decoder);
+            audit.addLast(entry);
+            auditTextChars += entry.text().length();
+        }
+    }
+}
