--- a/sequoianotch-control/src/main/java/org/sequoianotch/control/group/PeerTable.java
+++ b/sequoianotch-control/src/main/java/org/sequoianotch/control/group/PeerTable.java
@@ -17,6 +17,7 @@
 import org.sequoianotch.control.group.GroupMessage.Request;
 import org.sequoianotch.control.group.GroupMessage.SnapshotReply;
 import org.sequoianotch.control.group.GroupMessage.SnapshotRequest;
+import org.sequoianotch.control.group.GroupMessage.VoteRequest;
 import org.sequoianotch.control.log.LogEntry;
 
 /** The peers of one member and what it sends to them as leader. Guarded by the lock of {@link RaftMember}. */
@@ -106,6 +107,16 @@
         return Optional.of(peer);
     }
 
+    Optional<Request> voteRequest(PeerProgress peer, long electionTerm, boolean preVote) {
+        if (peer.askedForVote || !peer.voter) {
+            return Optional.empty();
+        }
+        peer.askedForVote = true;
+        long lastIndex = replica.store.lastIndex();
+        return Optional.of(new VoteRequest(
+                replica.members().groupId(), electionTerm, ownId, lastIndex, replica.store.termAt(lastIndex), preVote));
+    }
+
     Optional<Request> appendRequest(PeerProgress peer, Member leader, double nowMs) {
         boolean heartbeatDue = peer.sentAtMs + settings.heartbeatMs() <= nowMs;
         boolean news = peer.nextIndex <= replica.store.lastIndex() || peer.sentCommitIndex < replica.commitIndex();
--- a/sequoianotch-control/src/main/java/org/sequoianotch/control/group/RaftMember.java
+++ b/sequoianotch-control/src/main/java/org/sequoianotch/control/group/RaftMember.java
@@ -2,11 +2,9 @@
 
 import io.vavr.control.Either;
 import java.util.Collection;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
 import org.apache.logging.log4j.LogManager;
@@ -43,18 +41,13 @@
 
     private final GroupSettings settings;
     private final Clock clock;
-    private final Random random;
     private final Replica replica;
     private final String ownId;
     private final PeerTable peers;
     private final SnapshotInbox inbox = new SnapshotInbox();
-    private final Set<String> votes = new HashSet<>();
+    private final ElectionState election;
     private Role role = Role.FOLLOWER;
     private @Nullable Member leader;
-    /** When a leader was last heard; votes are refused for an election timeout after it. */
-    private double heardAtMs;
-
-    private double electionDueMs;
     private double leadsSinceMs;
     private long termStartIndex;
     private String fault = "";
@@ -72,30 +65,24 @@
     public RaftMember(MemberStore store, StateMachine machine, GroupSettings settings, Clock clock, Random random) {
         this.settings = settings;
         this.clock = clock;
-        this.random = random;
+        this.election = new ElectionState(clock, random, settings.electionTimeoutMs());
         this.replica = new Replica(store, machine);
         this.ownId = store.memberId();
         this.peers = new PeerTable(ownId, settings, replica);
         peers.refresh();
-        heardAtMs = clock.monotonicMs();
-        postponeElection();
     }
 
     /**
-     * Forms a group. Only one member of a new group does this, and only while its log is empty.
+     * Forms a group, unless this member belongs to one. Only one member of a new group does this.
      *
      * @param founders the members, with this one among them; not null
      */
     public synchronized void form(MemberSet founders) {
-        guarded(false, () -> {
-            if (isFormed()) {
-                throw new IllegalStateException("the member already belongs to a group");
-            }
-            replica.append(0, EntryKind.MEMBERS, founders.toBytes());
+        if (!isFormed()) {
+            LOGGER.info("[control] Forming control group {} of {}.", founders.groupId(), founders.members());
+            guarded(0L, () -> replica.append(0, EntryKind.MEMBERS, founders.toBytes()));
             peers.refresh();
-            LOGGER.info("[control] Formed control group {} of {}.", founders.groupId(), founders.members());
-            return true;
-        });
+        }
     }
 
     /**
@@ -116,7 +103,7 @@
                 if (contactMs + settings.electionTimeoutMs() < nowMs) {
                     stepDown(term(), "no majority answers");
                 }
-            } else if (nowMs >= electionDueMs && isVoter()) {
+            } else if (election.isDue() && isVoter()) {
                 startPreVote();
             }
             boolean lagging = role == Role.LEADER && peers.someLag();
@@ -127,7 +114,7 @@
 
     private void startPreVote() {
         startRound(Role.PRE_CANDIDATE);
-        if (votes.size() >= replica.members().majority()) {
+        if (election.isWon(replica.members())) {
             startElection();
         }
     }
@@ -135,7 +122,7 @@
     private void startElection() {
         replica.store.saveVote(term() + 1, ownId);
         startRound(Role.CANDIDATE);
-        if (votes.size() >= replica.members().majority()) {
+        if (election.isWon(replica.members())) {
             lead();
         }
     }
@@ -143,10 +130,9 @@
     private void startRound(Role newRole) {
         role = newRole;
         leader = null;
-        votes.clear();
-        votes.add(ownId);
+        election.startRound();
+        election.addVote(ownId);
         peers.reset();
-        postponeElection();
         notifyAll();
     }
 
@@ -174,15 +160,11 @@
             role = Role.FOLLOWER;
             leader = null;
             peers.reset();
-            postponeElection();
+            election.postpone();
         }
         notifyAll();
     }
 
-    private void postponeElection() {
-        electionDueMs = clock.monotonicMs() + settings.electionTimeoutMs() * (1 + random.nextDouble());
-    }
-
     private boolean isVoter() {
         return replica.members().member(ownId).isPresent();
     }
@@ -208,15 +190,16 @@
         }
         Reply reply = guarded(null, () -> switch (request) {
             case VoteRequest vote -> vote(vote);
-            case AppendRequest append -> append(append);
-            case SnapshotRequest part -> snapshotPart(part);
+            case AppendRequest m -> fromLeader(
+                    m.term(), m.leader(), new AppendReply(term(), false, 0), () -> replica.accept(m, term()));
+            case SnapshotRequest m -> fromLeader(
+                    m.term(), m.leader(), new SnapshotReply(term(), 0, false), () -> inbox.receive(m, replica, term()));
         });
         return reply == null ? new Declined(fault) : reply;
     }
 
     private VoteReply vote(VoteRequest request) {
-        double nowMs = clock.monotonicMs();
-        boolean hasLeader = role == Role.LEADER || heardAtMs + settings.electionTimeoutMs() > nowMs;
+        boolean hasLeader = role == Role.LEADER || election.isLeaderPromised();
         if (hasLeader || !replica.isUpToDate(request.lastIndex(), request.lastTerm())) {
             // The term is not taken over: a member that cannot win must not disturb a leader that others follow.
             return new VoteReply(term(), false);
@@ -227,51 +210,25 @@
         if (request.term() > term()) {
             stepDown(request.term(), "member " + request.candidateId() + " started a later term");
         }
-        String votedFor = replica.store.votedFor();
-        boolean granted = request.term() == term() && (votedFor.isEmpty() || votedFor.equals(request.candidateId()));
+        boolean granted = replica.grantVote(request);
         if (granted) {
-            if (votedFor.isEmpty()) {
-                replica.store.saveVote(term(), request.candidateId());
-            }
-            postponeElection();
+            election.postpone();
         }
         return new VoteReply(term(), granted);
     }
 
-    private Reply append(AppendRequest request) {
-        if (request.term() < term()) {
-            return new AppendReply(term(), false, 0);
-        }
-        follow(request.term(), request.leader());
-        AppendReply reply = replica.accept(request, term());
-        peers.refresh();
-        return reply;
-    }
-
-    private Reply snapshotPart(SnapshotRequest request) {
-        if (request.term() < term()) {
-            return new SnapshotReply(term(), 0, false);
-        }
-        follow(request.term(), request.leader());
-        if (request.lastIndex() <= replica.commitIndex()) {
-            return new SnapshotReply(term(), 0, true);
-        }
-        boolean complete = inbox.add(request);
-        if (complete) {
-            replica.install(inbox.take());
-            peers.refresh();
-            LOGGER.info("[control] Installed a snapshot up to entry {}.", request.lastIndex());
+    private Reply fromLeader(long leaderTerm, Member newLeader, Reply outdated, Supplier<Reply> acceptance) {
+        if (leaderTerm < term()) {
+            return outdated;
         }
-        return new SnapshotReply(term(), inbox.nextOffset(), complete);
-    }
-
-    private void follow(long leaderTerm, Member newLeader) {
         if (leaderTerm > term() || role != Role.FOLLOWER) {
             stepDown(leaderTerm, "member " + newLeader.id() + " leads term " + leaderTerm);
         }
         leader = newLeader;
-        heardAtMs = clock.monotonicMs();
-        postponeElection();
+        election.leaderHeard();
+        Reply reply = acceptance.get();
+        peers.refresh();
+        return reply;
     }
 
     /**
@@ -287,22 +244,12 @@
     private Optional<Request> requestFor(PeerProgress peer, double nowMs) {
         return switch (role) {
             case FOLLOWER -> Optional.empty();
-            case PRE_CANDIDATE -> voteRequest(peer, term() + 1, true);
-            case CANDIDATE -> voteRequest(peer, term(), false);
+            case PRE_CANDIDATE -> peers.voteRequest(peer, term() + 1, true);
+            case CANDIDATE -> peers.voteRequest(peer, term(), false);
             case LEADER -> leader == null ? Optional.empty() : peers.appendRequest(peer, leader, nowMs);
         };
     }
 
-    private Optional<Request> voteRequest(PeerProgress peer, long electionTerm, boolean preVote) {
-        if (peer.askedForVote || !peer.voter) {
-            return Optional.empty();
-        }
-        peer.askedForVote = true;
-        long lastIndex = replica.store.lastIndex();
-        return Optional.of(new VoteRequest(
-                replica.members().groupId(), electionTerm, ownId, lastIndex, replica.store.termAt(lastIndex), preVote));
-    }
-
     /**
      * Waits until a question for a peer is to be sent.
      *
@@ -360,8 +307,8 @@
         if (!thisRound || !reply.granted()) {
             return;
         }
-        votes.add(question.peer().id());
-        if (votes.size() >= replica.members().majority()) {
+        election.addVote(question.peer().id());
+        if (election.isWon(replica.members())) {
             if (preVote) {
                 startElection();
             } else {
@@ -390,24 +337,28 @@
      */
     public synchronized CompletableFuture<Either<Failure, byte[]>> propose(Supplier<Either<byte[], byte[]>> proposal) {
         if (!holdsLease()) {
-            return CompletableFuture.completedFuture(Either.left(notLeading()));
+            return completed(Either.left(notLeading()));
         }
         // Not guarded: a defect in the check of one change must not stop the member.
         Either<byte[], byte[]> decided = proposal.get();
         if (decided.isLeft()) {
-            return CompletableFuture.completedFuture(Either.right(decided.getLeft()));
+            return completed(Either.right(decided.getLeft()));
         }
-        return guarded(
-                CompletableFuture.completedFuture(Either.left(ControlError.ANSWER_LOST.failure(""))),
-                () -> proposeEntry(EntryKind.CHANGE, decided.get()));
+        return proposeEntry(EntryKind.CHANGE, decided.get());
     }
 
     private CompletableFuture<Either<Failure, byte[]>> proposeEntry(EntryKind kind, byte[] data) {
-        CompletableFuture<Either<Failure, byte[]>> answer = replica.appendAndAwait(term(), kind, data);
-        peers.refresh();
-        commitByMajority();
-        notifyAll();
-        return answer;
+        return guarded(completed(Either.left(ControlError.ANSWER_LOST.failure(""))), () -> {
+            CompletableFuture<Either<Failure, byte[]>> answer = replica.appendAndAwait(term(), kind, data);
+            peers.refresh();
+            commitByMajority();
+            notifyAll();
+            return answer;
+        });
+    }
+
+    private static CompletableFuture<Either<Failure, byte[]>> completed(Either<Failure, byte[]> answer) {
+        return CompletableFuture.completedFuture(answer);
     }
 
     /**
@@ -445,26 +396,14 @@
     public synchronized CompletableFuture<Either<Failure, byte[]>> changeMembers(
             @Nullable Member added, String removedId) {
         if (!holdsLease()) {
-            return CompletableFuture.completedFuture(Either.left(notLeading()));
-        }
-        if (!replica.membersCommitted()) {
-            return CompletableFuture.completedFuture(Either.left(
-                    ControlError.MEMBERS_NOT_CHANGED.failure("Another change of the members is not committed yet.")));
-        }
-        if (added != null && peers.matchIndex(added.id()) < replica.commitIndex()) {
-            return CompletableFuture.completedFuture(
-                    Either.left(ControlError.MEMBERS_NOT_CHANGED.failure("The new member has not caught up.")));
+            return completed(Either.left(notLeading()));
         }
-        MemberSet changed =
-                added == null ? replica.members() : replica.members().plus(added);
-        MemberSet target = changed.minus(removedId);
-        if (target.members().isEmpty() || target.equals(replica.members())) {
-            return CompletableFuture.completedFuture(
-                    Either.left(ControlError.MEMBERS_NOT_CHANGED.failure("There is no such change to make.")));
+        boolean caughtUp = added == null || peers.matchIndex(added.id()) >= replica.commitIndex();
+        Either<Failure, MemberSet> target = replica.changedMembers(added, caughtUp, removedId);
+        if (target.isLeft()) {
+            return completed(Either.left(target.getLeft()));
         }
-        return guarded(
-                CompletableFuture.completedFuture(Either.left(ControlError.ANSWER_LOST.failure(""))),
-                () -> proposeEntry(EntryKind.MEMBERS, target.toBytes()));
+        return proposeEntry(EntryKind.MEMBERS, target.get().toBytes());
     }
 
     /**
@@ -535,7 +474,7 @@
      * @return the state, never null
      */
     public synchronized GroupStatus status() {
-        boolean heard = leader != null && heardAtMs + settings.electionTimeoutMs() > clock.monotonicMs();
+        boolean heard = leader != null && election.isLeaderPromised();
         return new GroupStatus(
                 ownId,
                 role,
--- a/sequoianotch-control/src/main/java/org/sequoianotch/control/group/Replica.java
+++ b/sequoianotch-control/src/main/java/org/sequoianotch/control/group/Replica.java
@@ -5,8 +5,10 @@
 import java.util.List;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
+import org.jspecify.annotations.Nullable;
 import org.sequoianotch.control.group.GroupMessage.AppendReply;
 import org.sequoianotch.control.group.GroupMessage.AppendRequest;
+import org.sequoianotch.control.group.GroupMessage.VoteRequest;
 import org.sequoianotch.control.log.EntryKind;
 import org.sequoianotch.control.log.LogEntry;
 import org.sequoianotch.control.log.MemberStore;
@@ -67,6 +69,18 @@
         return otherLastTerm > lastTerm || (otherLastTerm == lastTerm && otherLastIndex >= store.lastIndex());
     }
 
+    /** Gives the vote of the current term, at most once. */
+    boolean grantVote(VoteRequest request) {
+        String votedFor = store.votedFor();
+        if (request.term() != store.term() || !(votedFor.isEmpty() || votedFor.equals(request.candidateId()))) {
+            return false;
+        }
+        if (votedFor.isEmpty()) {
+            store.saveVote(store.term(), request.candidateId());
+        }
+        return true;
+    }
+
     AppendReply accept(AppendRequest request, long term) {
         long previous = request.previousIndex();
         long snapshotIndex = store.snapshot().lastIndex();
@@ -154,6 +168,22 @@
         refreshMembers();
     }
 
+    /** Returns the members after a change of one member, or why it cannot be made. */
+    Either<Failure, MemberSet> changedMembers(@Nullable Member added, boolean caughtUp, String removedId) {
+        if (membersIndex > commitIndex) {
+            return Either.left(
+                    ControlError.MEMBERS_NOT_CHANGED.failure("Another change of the members is not committed yet."));
+        }
+        if (!caughtUp) {
+            return Either.left(ControlError.MEMBERS_NOT_CHANGED.failure("The new member has not caught up."));
+        }
+        MemberSet target = (added == null ? members : members.plus(added)).minus(removedId);
+        boolean one = Math.abs(target.members().size() - members.members().size()) == 1;
+        return one && !target.members().isEmpty()
+                ? Either.right(target)
+                : Either.left(ControlError.MEMBERS_NOT_CHANGED.failure("It is not a change of one member."));
+    }
+
     private void refreshMembers() {
         membersIndex = membersIndexAt(store.lastIndex());
         members = membersAt(store.lastIndex());
--- a/sequoianotch-control/src/main/java/org/sequoianotch/control/group/SnapshotInbox.java
+++ b/sequoianotch-control/src/main/java/org/sequoianotch/control/group/SnapshotInbox.java
@@ -1,17 +1,22 @@
 package org.sequoianotch.control.group;
 
 import java.io.ByteArrayOutputStream;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.sequoianotch.control.group.GroupMessage.SnapshotReply;
 import org.sequoianotch.control.group.GroupMessage.SnapshotRequest;
 import org.sequoianotch.control.log.Snapshot;
 
 /** Collects the parts of a leader's snapshot. Guarded by the lock of {@link RaftMember}. */
 final class SnapshotInbox {
+    private static final Logger LOGGER = LogManager.getLogger(SnapshotInbox.class);
+
     private ByteArrayOutputStream parts = new ByteArrayOutputStream();
     private long lastIndex;
     private long term;
 
     /** Adds a part if it is the next one, and returns true if the snapshot is complete. */
-    boolean add(SnapshotRequest request) {
+    private boolean add(SnapshotRequest request) {
         if (request.lastIndex() != lastIndex || request.term() != term) {
             // Parts of different leaders are not mixed.
             parts = new ByteArrayOutputStream();
@@ -25,14 +30,18 @@
         return request.last();
     }
 
-    long nextOffset() {
-        return parts.size();
-    }
-
-    Snapshot take() {
-        Snapshot snapshot = Snapshot.of(parts.toByteArray());
-        parts = new ByteArrayOutputStream();
-        lastIndex = 0;
-        return snapshot;
+    /** Takes a part, and installs the snapshot once it is complete. */
+    SnapshotReply receive(SnapshotRequest request, Replica replica, long currentTerm) {
+        if (request.lastIndex() <= replica.commitIndex()) {
+            return new SnapshotReply(currentTerm, 0, true);
+        }
+        boolean complete = add(request);
+        if (complete) {
+            replica.install(Snapshot.of(parts.toByteArray()));
+            parts = new ByteArrayOutputStream();
+            lastIndex = 0;
+            LOGGER.info("[control] Installed a snapshot up to entry {}.", request.lastIndex());
+        }
+        return new SnapshotReply(currentTerm, parts.size(), complete);
     }
 }
