--- a/sequoianotch-control/src/main/java/org/sequoianotch/control/log/RecordFrame.java
+++ b/sequoianotch-control/src/main/java/org/sequoianotch/control/log/RecordFrame.java
@@ -68,7 +68,7 @@
         ByteBuffer buffer = ByteBuffer.wrap(content);
         int length = buffer.getInt(offset);
         if (buffer.getInt(offset + 4) != checksum(content, offset, 4) || length < 0) {
-            if (onlyZeros(content, offset + 4)) {
+            if (onlyZeros(content, offset + 8)) {
                 return -1;
             }
             throw new StorageException(
--- /dev/null
+++ b/sequoianotch-control/src/test/java/org/sequoianotch/control/group/GroupFailureTest.java
@@ -0,0 +1,205 @@
+package org.sequoianotch.control.group;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.sequoianotch.control.state.Samples.change;
+
+import io.vavr.control.Either;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.sequoianotch.control.group.GroupMessage.Declined;
+import org.sequoianotch.control.group.GroupMessage.VoteReply;
+import org.sequoianotch.control.group.GroupMessage.VoteRequest;
+import org.sequoianotch.control.group.GroupSimulation.Host;
+import org.sequoianotch.control.state.ChangeResult.Accepted;
+import org.sequoianotch.error.Failure;
+
+/** Guards the promises of the group under each single failure that the design page names. */
+final class GroupFailureTest {
+    @ParameterizedTest
+    @ValueSource(ints = {1, 3, 5, 7})
+    void changeIsOnEveryMember(int size) {
+        GroupSimulation group = new GroupSimulation(size, 1);
+
+        assertThat(group.change(change("c1", "ana", 1_000, 0))).isEqualTo(new Accepted(1));
+
+        group.run(200);
+        for (Host host : group.hosts) {
+            assertThat(host.state.revision()).isEqualTo(1);
+        }
+    }
+
+    /** An isolated leader believes that it is current; its lease must end before another leader can accept changes. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5})
+    void isolatedLeaderAnswersNothingOnceAnotherLeads(long seed) {
+        GroupSimulation group = new GroupSimulation(3, seed);
+        group.change(change("c1", "ana", 1_000, 0));
+        Host old = group.awaitLeader();
+        group.isolate(old, true);
+        CompletableFuture<Either<Failure, byte[]>> doubtful = old.propose(change("lost", "ana", 1_100, 1));
+
+        long stepsWithTwo = 0;
+        for (int i = 0; i < 400; i++) {
+            group.step();
+            boolean otherAnswers = group.hosts.stream()
+                    .anyMatch(host -> host != old
+                            && host.raft.readCurrent(host.state::revision).isRight());
+            boolean oldAnswers = old.raft.readCurrent(old.state::revision).isRight();
+            stepsWithTwo += otherAnswers && oldAnswers ? 1 : 0;
+        }
+
+        assertThat(stepsWithTwo).isEqualTo(0);
+        assertThat(old.raft.status().role()).isNotEqualTo(Role.LEADER);
+        assertThat(old.propose(change("c2", "ana", 1_200, 1)).join().isLeft()).isTrue();
+        assertThat(doubtful.join().getLeft().provesNotRun()).isFalse();
+        assertThat(group.change(change("c3", "ben", 1_300, 1))).isEqualTo(new Accepted(2));
+        group.isolate(old, false);
+        group.run(1_000);
+        assertThat(old.state.revision()).isEqualTo(2);
+        assertThat(old.state.audit(1).get(0).changeId()).isEqualTo("c3");
+    }
+
+    /** A member that comes back from isolation must not force an election on a group that works. */
+    @Test
+    void returningMemberDoesNotDisturbTheLeader() {
+        GroupSimulation group = new GroupSimulation(3, 7);
+        Host leader = group.awaitLeader();
+        Host isolated =
+                group.hosts.stream().filter(host -> host != leader).findFirst().orElseThrow();
+        long term = leader.raft.status().term();
+        group.isolate(isolated, true);
+        group.run(5_000);
+        group.isolate(isolated, false);
+        group.run(2_000);
+
+        assertThat(leader.raft.status().role()).isEqualTo(Role.LEADER);
+        assertThat(leader.raft.status().term()).isEqualTo(term);
+        assertThat(isolated.raft.status().leader()).hasValue(leader.member());
+    }
+
+    /** The old identity has voted and stored entries; a host without its disk has forgotten both. */
+    @Test
+    void lostDiskCannotVoteUnderTheOldIdentity() {
+        GroupSimulation group = new GroupSimulation(3, 3);
+        group.change(change("c1", "ana", 1_000, 0));
+        Host leader = group.awaitLeader();
+        Host lost =
+                group.hosts.stream().filter(host -> host != leader).findFirst().orElseThrow();
+        Host third = group.hosts.stream()
+                .filter(host -> host != leader && host != lost)
+                .findFirst()
+                .orElseThrow();
+        String oldId = lost.member().id();
+        lost.stop();
+        lost.startWithEmptyDisk();
+        leader.stop();
+
+        group.run(5_000);
+
+        assertThat(group.leader()).isEmpty();
+        assertThat(third.raft.status().role()).isNotEqualTo(Role.LEADER);
+        VoteRequest request = new VoteRequest("group", 99, third.member().id(), 99, 99, false);
+        assertThat(lost.raft.handle(oldId, request)).isInstanceOf(Declined.class);
+        assertThat(third.raft.handle(third.member().id(), new VoteRequest("other", 99, "x", 99, 99, false)))
+                .isInstanceOf(Declined.class);
+        leader.start();
+        group.admit(lost);
+        assertThat(lost.state.revision()).isEqualTo(1);
+    }
+
+    /** With three members, the second loss right after the repair of the first must not lose an accepted change. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4})
+    void secondLossRightAfterTheFirstRepairLosesNothing(long seed) {
+        GroupSimulation group = new GroupSimulation(3, seed);
+        for (int i = 0; i < 40; i++) {
+            assertThat(group.change(change("c" + i, "ana", 1_000 + i, i))).isEqualTo(new Accepted(i + 1));
+        }
+        Host first = group.hosts.get((int) seed % 3);
+        first.stop();
+        group.change(change("c40", "ana", 1_040, 40));
+        first.startWithEmptyDisk();
+        group.admit(first);
+        Host second = group.hosts.get((int) (seed + 1) % 3);
+        second.stop();
+
+        assertThat(group.change(change("c41", "ana", 1_041, 41))).isEqualTo(new Accepted(42));
+        assertThat(first.state.revision()).isAtLeast(41);
+        second.startWithEmptyDisk();
+        group.admit(second);
+        group.run(500);
+        assertThat(second.state.snapshot()).isEqualTo(first.state.snapshot());
+    }
+
+    /** After a failed sync nobody knows what is on the disk; the member must not vote or acknowledge from memory. */
+    @Test
+    void memberWithAFailedSyncTakesNoPartUntilItIsRestarted() {
+        GroupSimulation group = new GroupSimulation(3, 5);
+        Host leader = group.awaitLeader();
+        leader.folder.losePower(0, 0.5);
+        CompletableFuture<Either<Failure, byte[]>> answer = leader.propose(change("c1", "ana", 1_000, 0));
+
+        assertThat(answer.join().getLeft().provesNotRun()).isFalse();
+        assertThat(leader.raft.status().fault()).contains("cannot be synced");
+        VoteRequest request = new VoteRequest("group", 99, "x", 99, 99, false);
+        assertThat(leader.raft.handle(leader.member().id(), request)).isInstanceOf(Declined.class);
+        assertThat(group.change(change("c1", "ana", 1_000, 0))).isEqualTo(new Accepted(1));
+        leader.stop();
+        leader.start();
+        group.run(1_000);
+        assertThat(leader.state.revision()).isEqualTo(1);
+    }
+
+    /** A restarted member may have promised a lease that it does not remember. */
+    @Test
+    void restartedMemberRefusesVotesForAnElectionTimeout() {
+        GroupSimulation group = new GroupSimulation(3, 6);
+        Host leader = group.awaitLeader();
+        Host other =
+                group.hosts.stream().filter(host -> host != leader).findFirst().orElseThrow();
+        other.stop();
+        other.start();
+        VoteRequest request = new VoteRequest("group", 99, "host-9.1", 99, 99, false);
+
+        assertThat(((VoteReply) other.raft.handle(other.member().id(), request)).granted())
+                .isFalse();
+        group.isolate(other, true);
+        group.run(GroupSimulation.SETTINGS.electionTimeoutMs() + 20);
+        assertThat(((VoteReply) other.raft.handle(other.member().id(), request)).granted())
+                .isTrue();
+    }
+
+    @Test
+    void oneMemberAtATime() {
+        GroupSimulation group = new GroupSimulation(5, 8);
+        Host leader = group.awaitLeader();
+        String[] others = group.hosts.stream()
+                .filter(host -> host != leader)
+                .map(host -> host.member().id())
+                .toArray(String[]::new);
+
+        CompletableFuture<Either<Failure, byte[]>> first = leader.raft.changeMembers(null, others[0]);
+        CompletableFuture<Either<Failure, byte[]>> second = leader.raft.changeMembers(null, others[1]);
+
+        assertThat(second.join().getLeft().detail()).contains("not committed yet");
+        group.run(500);
+        assertThat(first.join().isRight()).isTrue();
+        assertThat(leader.raft.changeMembers(leader.member(), others[1]).join().isLeft())
+                .isTrue();
+    }
+
+    @Test
+    void leaderThatRemovesItselfHandsOver() {
+        GroupSimulation group = new GroupSimulation(3, 9);
+        Host leader = group.awaitLeader();
+        CompletableFuture<Either<Failure, byte[]>> removed =
+                leader.raft.changeMembers(null, leader.member().id());
+        group.run(2_000);
+
+        assertThat(removed.join().isRight()).isTrue();
+        assertThat(leader.raft.status().role()).isEqualTo(Role.FOLLOWER);
+        assertThat(group.change(change("c1", "ana", 1_000, 0))).isEqualTo(new Accepted(1));
+    }
+}
--- /dev/null
+++ b/sequoianotch-control/src/test/java/org/sequoianotch/control/group/GroupHistoryTest.java
@@ -0,0 +1,224 @@
+package org.sequoianotch.control.group;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+import static org.sequoianotch.control.state.Samples.change;
+
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.sequoianotch.control.group.GroupSimulation.Host;
+import org.sequoianotch.control.state.AuditRecord;
+import org.sequoianotch.control.state.ChangeRequest;
+import org.sequoianotch.control.state.ChangeResult;
+import org.sequoianotch.control.state.ChangeResult.Accepted;
+import org.sequoianotch.error.Failure;
+
+/**
+ * Runs a group under losses, delays, repeats, partitions, restarts, power losses and lost disks in a random order with
+ * a fixed seed, and checks the history: no accepted change is lost or undone, changes with equal expected revisions
+ * have one winner, a resend gets the first answer, and reads never go back.
+ */
+final class GroupHistoryTest {
+    private static final int FAULT_STEPS = 6_000;
+
+    private record Open(ChangeRequest request, CompletableFuture<Either<Failure, byte[]>> answer) {}
+
+    private final Map<String, ChangeRequest> requests = new HashMap<>();
+    private final Map<String, ChangeResult> answers = new HashMap<>();
+    private final List<Open> open = new ArrayList<>();
+    private long highestSeen;
+    private int reads;
+    private int wipes;
+
+    @ParameterizedTest
+    @CsvSource({
+        "3, 1", "3, 2", "3, 3", "3, 4", "3, 5", "3, 6", "3, 7", "3, 8", "3, 9", "3, 10", "3, 11", "3, 12", "5, 21",
+        "5, 22", "5, 23", "5, 24", "5, 25", "5, 26", "5, 27", "5, 28", "7, 31", "7, 32", "7, 33", "7, 34"
+    })
+    void historyIsThatOfOneCopy(int size, long seed) {
+        GroupSimulation group = new GroupSimulation(size, seed);
+        Random faults = new Random(seed * 31);
+        for (int i = 0; i < FAULT_STEPS; i++) {
+            disturb(group, faults);
+            submit(group, faults);
+            group.step();
+            collect();
+            read(group, faults);
+            repair(group);
+        }
+        heal(group);
+        group.change(change("last", "ana", 60_000, group.awaitLeader().state.revision()));
+        group.run(3_000);
+        collect();
+
+        checkStates(group);
+        checkAudit(group.awaitLeader());
+        resendEverything(group);
+        System.out.println("Group of " + size + ", seed " + seed + ": " + requests.size() + " changes, "
+                + group.awaitLeader().state.revision() + " accepted, " + reads + " reads, "
+                + group.leaderOfTerm.size() + " terms, " + wipes + " lost disks");
+    }
+
+    private void disturb(GroupSimulation group, Random faults) {
+        if (faults.nextInt(200) == 0) {
+            group.lossRate = faults.nextInt(3) * 0.15;
+            group.repeatRate = faults.nextInt(3) * 0.2;
+            group.maxDelayMs = 1 + faults.nextInt(80);
+        }
+        if (faults.nextInt(150) == 0) {
+            boolean cut = faults.nextBoolean();
+            group.isolate(pick(group, faults), cut);
+        }
+        if (faults.nextInt(100) == 0) {
+            group.setLink(pick(group, faults), pick(group, faults), faults.nextInt(3) == 0);
+        }
+        Host host = pick(group, faults);
+        if (faults.nextInt(150) == 0 && host.up) {
+            host.folder.losePower(faults.nextInt(4), faults.nextDouble());
+        }
+        boolean faulty = host.up && !host.raft.status().fault().isEmpty();
+        if (host.up && (faulty ? faults.nextInt(20) == 0 : faults.nextInt(400) == 0)) {
+            host.stop();
+        } else if (!host.up && faults.nextInt(40) == 0) {
+            boolean mayLoseDisk = group.hosts.stream().allMatch(other -> isVoter(other) || other == host);
+            if (mayLoseDisk && faults.nextInt(4) == 0) {
+                wipes++;
+                host.startWithEmptyDisk();
+            } else {
+                host.start();
+            }
+        }
+    }
+
+    /** A second disk may be lost once the first is repaired, but not before: that would lose the majority. */
+    private static boolean isVoter(Host host) {
+        GroupStatus status = host.raft.status();
+        return status.members().member(status.memberId()).isPresent();
+    }
+
+    private void repair(GroupSimulation group) {
+        group.leader().ifPresent(leader -> {
+            for (Host host : group.hosts) {
+                if (host.up
+                        && !leader.raft
+                                .status()
+                                .members()
+                                .member(host.member().id())
+                                .isPresent()) {
+                    GroupSimulation.admissionStep(leader.raft, host.member());
+                }
+            }
+        });
+    }
+
+    private static Host pick(GroupSimulation group, Random faults) {
+        return group.hosts.get(faults.nextInt(group.hosts.size()));
+    }
+
+    private void submit(GroupSimulation group, Random faults) {
+        if (faults.nextInt(8) != 0) {
+            return;
+        }
+        Host host = faults.nextBoolean() ? group.leader().orElse(pick(group, faults)) : pick(group, faults);
+        if (!host.up) {
+            return;
+        }
+        boolean resend = faults.nextInt(4) == 0 && !requests.isEmpty();
+        String changeId = "c" + (resend ? faults.nextInt(requests.size()) : requests.size());
+        long expected = Math.max(0, highestSeen - faults.nextInt(8) / 7 + faults.nextInt(12) / 11);
+        ChangeRequest request = requests.computeIfAbsent(
+                changeId, id -> change(id, "operator-" + faults.nextInt(3), 1_000 + requests.size(), expected));
+        open.add(new Open(request, host.propose(request)));
+    }
+
+    private void collect() {
+        open.removeIf(item -> {
+            if (item.answer().isDone() && item.answer().join().isRight()) {
+                keepAnswer(item.request(), ChangeResult.of(item.answer().join().get()));
+            }
+            return item.answer().isDone();
+        });
+    }
+
+    private void keepAnswer(ChangeRequest request, ChangeResult result) {
+        ChangeResult first = answers.putIfAbsent(request.changeId(), result);
+        if (first != null) {
+            assertWithMessage("resend of " + request.changeId()).that(result).isEqualTo(first);
+        }
+        if (result instanceof Accepted accepted) {
+            highestSeen = Math.max(highestSeen, accepted.revision());
+        }
+    }
+
+    private void read(GroupSimulation group, Random faults) {
+        Host host = pick(group, faults);
+        Either<Failure, Long> revision = host.raft.readCurrent(host.state::revision);
+        if (revision.isRight()) {
+            assertWithMessage("read at " + host.id).that(revision.get()).isAtLeast(highestSeen);
+            highestSeen = revision.get();
+            reads++;
+        }
+    }
+
+    private void heal(GroupSimulation group) {
+        group.cutLinks.clear();
+        group.lossRate = 0;
+        group.repeatRate = 0;
+        group.maxDelayMs = 5;
+        for (Host host : group.hosts) {
+            if (host.up) {
+                host.stop();
+            }
+            host.start();
+        }
+        for (int i = 0; i < 2_000; i++) {
+            group.step();
+            repair(group);
+        }
+    }
+
+    private void checkStates(GroupSimulation group) {
+        Host leader = group.awaitLeader();
+        assertThat(leader.raft.status().members().members()).hasSize(group.hosts.size());
+        for (Host host : group.hosts) {
+            assertThat(host.raft.status().commitIndex())
+                    .isEqualTo(leader.raft.status().lastIndex());
+            assertThat(host.state.snapshot()).isEqualTo(leader.state.snapshot());
+        }
+    }
+
+    private void checkAudit(Host leader) {
+        Map<String, Long> revisions = new HashMap<>();
+        long expected = leader.state.revision();
+        for (AuditRecord record : leader.state.audit(Integer.MAX_VALUE)) {
+            assertThat(record.toRevision()).isEqualTo(expected);
+            assertThat(record.fromRevision()).isEqualTo(expected - 1);
+            revisions.put(record.changeId(), record.toRevision());
+            expected--;
+        }
+        assertThat(expected).isEqualTo(0);
+        answers.forEach((changeId, result) -> {
+            Long revision = result instanceof Accepted accepted ? (Long) accepted.revision() : null;
+            assertWithMessage(changeId).that(revisions.get(changeId)).isEqualTo(revision);
+        });
+    }
+
+    private void resendEverything(GroupSimulation group) {
+        long before = group.awaitLeader().state.revision();
+        List<String> answered = List.copyOf(answers.keySet());
+        for (String changeId : answered) {
+            ChangeRequest request = requests.get(changeId);
+            if (request != null) {
+                keepAnswer(request, group.change(request));
+            }
+        }
+        assertThat(group.awaitLeader().state.revision()).isEqualTo(before);
+    }
+}
--- /dev/null
+++ b/sequoianotch-control/src/test/java/org/sequoianotch/control/group/GroupSimulation.java
@@ -0,0 +1,267 @@
+package org.sequoianotch.control.group;
+
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import org.sequoianotch.control.codec.Decoder;
+import org.sequoianotch.control.codec.Encoder;
+import org.sequoianotch.control.log.MemberStore;
+import org.sequoianotch.control.log.MemoryFolder;
+import org.sequoianotch.control.state.ChangeRequest;
+import org.sequoianotch.control.state.ChangeResult;
+import org.sequoianotch.control.state.TemplateState;
+import org.sequoianotch.error.Failure;
+import org.sequoianotch.model.HostId;
+import org.sequoianotch.time.ManualClock;
+
+/** A group in one thread under a manual clock, with a network that loses, delays, repeats and partitions. */
+final class GroupSimulation {
+    static final long STEP_MS = 5;
+    static final GroupSettings SETTINGS = new GroupSettings(200, 40, 80, 15, 600);
+
+    /** One host with its disk and its running member. */
+    final class Host {
+        final HostId id;
+        final String address;
+        MemoryFolder folder = new MemoryFolder();
+        TemplateState state = new TemplateState();
+        RaftMember raft;
+        boolean up = true;
+        int run;
+
+        Host(int number) {
+            id = HostId.of("host-" + number);
+            address = String.valueOf(number);
+            raft = open();
+        }
+
+        private RaftMember open() {
+            run++;
+            state = new TemplateState();
+            String newId = id + "." + run;
+            return new RaftMember(MemberStore.open(folder, newId), state, SETTINGS, clock, random);
+        }
+
+        Member member() {
+            return new Member(raft.status().memberId(), id, address);
+        }
+
+        void stop() {
+            up = false;
+            raft.stop();
+        }
+
+        void start() {
+            folder.restorePower();
+            raft = open();
+            up = true;
+        }
+
+        void startWithEmptyDisk() {
+            folder = new MemoryFolder();
+            start();
+        }
+
+        boolean leads() {
+            return up && raft.status().role() == Role.LEADER;
+        }
+
+        CompletableFuture<Either<Failure, byte[]>> propose(ChangeRequest request) {
+            return raft.propose(() -> state.check(request)
+                    .<Either<byte[], byte[]>>map(answer -> Either.left(answer.toBytes()))
+                    .orElseGet(() -> Either.right(TemplateState.entryOf(request, clock.nowMs()))));
+        }
+    }
+
+    private record Event(double atMs, long number, Runnable action) implements Comparable<Event> {
+        @Override
+        public int compareTo(Event other) {
+            int byTime = Double.compare(atMs, other.atMs);
+            return byTime != 0 ? byTime : Long.compare(number, other.number);
+        }
+    }
+
+    final ManualClock clock = ManualClock.startingAt(1_000_000);
+    final Random random;
+    final List<Host> hosts = new ArrayList<>();
+    final Set<String> cutLinks = new HashSet<>();
+    final Map<Long, String> leaderOfTerm = new HashMap<>();
+    double lossRate;
+    double repeatRate;
+    long maxDelayMs = 5;
+    private final PriorityQueue<Event> events = new PriorityQueue<>();
+    private long eventNumber;
+
+    GroupSimulation(int size, long seed) {
+        random = new Random(seed);
+        for (int i = 0; i < size; i++) {
+            hosts.add(new Host(i));
+        }
+        List<Member> founders = hosts.stream().map(Host::member).toList();
+        hosts.get(0).raft.form(new MemberSet("group", founders));
+    }
+
+    /** Cuts or restores the links between a host and all others, in both directions. */
+    void isolate(Host host, boolean cut) {
+        for (Host other : hosts) {
+            setLink(host, other, cut);
+            setLink(other, host, cut);
+        }
+    }
+
+    void setLink(Host from, Host to, boolean cut) {
+        String link = from.address + ">" + to.address;
+        if (cut) {
+            cutLinks.add(link);
+        } else {
+            cutLinks.remove(link);
+        }
+    }
+
+    void run(long durationMs) {
+        for (long passedMs = 0; passedMs < durationMs; passedMs += STEP_MS) {
+            step();
+        }
+    }
+
+    void step() {
+        clock.advance(STEP_MS);
+        while (!events.isEmpty() && events.peek().atMs <= clock.monotonicMs()) {
+            events.poll().action.run();
+        }
+        for (Host host : hosts) {
+            if (host.up) {
+                host.raft.tick();
+                host.raft.peers().forEach(peer -> host.raft.next(peer.id()).ifPresent(out -> send(host, out)));
+                checkOneLeaderPerTerm(host);
+            }
+        }
+    }
+
+    private void checkOneLeaderPerTerm(Host host) {
+        GroupStatus status = host.raft.status();
+        if (status.role() == Role.LEADER) {
+            String first = leaderOfTerm.putIfAbsent(status.term(), status.memberId());
+            if (first != null && !first.equals(status.memberId())) {
+                throw new AssertionError("term " + status.term() + " has two leaders");
+            }
+        }
+    }
+
+    private void after(double delayMs, Runnable action) {
+        events.add(new Event(clock.monotonicMs() + delayMs, eventNumber++, action));
+    }
+
+    private void send(Host from, Outgoing out) {
+        RaftMember asker = from.raft;
+        Host to = hosts.get(Integer.parseInt(out.peer().address()));
+        after(SETTINGS.requestTimeoutMs(), () -> asker.lost(out));
+        int copies = random.nextDouble() < repeatRate ? 2 : 1;
+        for (int i = 0; i < copies; i++) {
+            if (passes(from, to)) {
+                after(delayMs(), () -> deliver(from, asker, to, out));
+            }
+        }
+    }
+
+    private void deliver(Host from, RaftMember asker, Host to, Outgoing out) {
+        if (!to.up) {
+            return;
+        }
+        GroupMessage.Request request = (GroupMessage.Request) copyOf(out.request());
+        GroupMessage.Reply reply =
+                (GroupMessage.Reply) copyOf(to.raft.handle(out.peer().id(), request));
+        if (passes(to, from)) {
+            after(delayMs(), () -> asker.answered(out, reply));
+        }
+    }
+
+    private static GroupMessage copyOf(GroupMessage message) {
+        Encoder encoder = new Encoder();
+        message.encode(encoder);
+        return GroupMessage.decode(new Decoder(encoder.toBytes()));
+    }
+
+    private boolean passes(Host from, Host to) {
+        return !cutLinks.contains(from.address + ">" + to.address) && random.nextDouble() >= lossRate;
+    }
+
+    private double delayMs() {
+        // One message in twenty is late by several election timeouts.
+        return random.nextInt(20) == 0 && maxDelayMs > 50
+                ? random.nextDouble() * 1_000
+                : random.nextDouble() * maxDelayMs;
+    }
+
+    Optional<Host> leader() {
+        return hosts.stream()
+                .filter(host -> host.leads() && host.raft.status().inContact())
+                .findFirst();
+    }
+
+    Host awaitLeader() {
+        for (int i = 0; i < 4_000 && leader().isEmpty(); i++) {
+            step();
+        }
+        return leader().orElseThrow(() -> new AssertionError("no leader within 20 s"));
+    }
+
+    /** Submits a change until it is answered, as an operator does who resends after a lost answer. */
+    ChangeResult change(ChangeRequest request) {
+        for (int attempt = 0; attempt < 20; attempt++) {
+            CompletableFuture<Either<Failure, byte[]>> answer = awaitLeader().propose(request);
+            for (int i = 0; i < 400 && !answer.isDone(); i++) {
+                step();
+            }
+            if (answer.isDone() && answer.join().isRight()) {
+                return ChangeResult.of(answer.join().get());
+            }
+        }
+        throw new AssertionError("change " + request.changeId() + " was not answered");
+    }
+
+    /** Admits a host that came back with an empty disk: its old identity is removed, the new one added. */
+    void admit(Host host) {
+        Member newcomer = host.member();
+        for (int attempt = 0; attempt < 4_000; attempt++) {
+            Optional<Host> leader = leader();
+            leader.ifPresent(found -> admissionStep(found.raft, newcomer));
+            step();
+            if (leader.isPresent() && isAdmitted(leader.get().raft.status(), host.raft.status())) {
+                return;
+            }
+        }
+        throw new AssertionError(newcomer + " was not admitted within 20 s");
+    }
+
+    /** Tells whether the newcomer is a member by an entry that is committed on both sides. */
+    static boolean isAdmitted(GroupStatus leader, GroupStatus newcomer) {
+        return newcomer.members().member(newcomer.memberId()).isPresent()
+                && newcomer.commitIndex() == leader.lastIndex()
+                && leader.commitIndex() == leader.lastIndex();
+    }
+
+    static void admissionStep(RaftMember leader, Member newcomer) {
+        MemberSet members = leader.status().members();
+        if (members.member(newcomer.id()).isPresent()) {
+            return;
+        }
+        leader.addLearner(newcomer);
+        if (leader.hasCaughtUp(newcomer.id())) {
+            Optional<Member> old = members.memberOf(newcomer.host());
+            if (old.isPresent()) {
+                leader.changeMembers(null, old.get().id());
+            } else {
+                leader.changeMembers(newcomer, "");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/sequoianotch-control/src/test/java/org/sequoianotch/control/log/MemberStoreTest.java
@@ -0,0 +1,212 @@
+package org.sequoianotch.control.log;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Guards against lost, invented or changed log entries after a crash, and against a vote under a lost identity. */
+final class MemberStoreTest {
+    private static final int ENTRIES = 6;
+
+    private static LogEntry entry(long index, long term) {
+        byte[] data = ("change " + index).repeat((int) index % 3).getBytes(StandardCharsets.UTF_8);
+        return new LogEntry(index, term, EntryKind.CHANGE, data);
+    }
+
+    private static MemoryFolder filledFolder() {
+        MemoryFolder folder = new MemoryFolder();
+        MemberStore store = MemberStore.open(folder, "a.1");
+        store.saveVote(3, "b.1");
+        for (long index = 1; index <= ENTRIES; index++) {
+            store.append(List.of(entry(index, 2)));
+        }
+        return folder;
+    }
+
+    @Test
+    void everythingIsThereAfterARestart() {
+        MemberStore store = MemberStore.open(filledFolder(), "a.2");
+
+        assertThat(store.memberId()).isEqualTo("a.1");
+        assertThat(store.term()).isEqualTo(3);
+        assertThat(store.votedFor()).isEqualTo("b.1");
+        assertThat(store.lastIndex()).isEqualTo(ENTRIES);
+        assertThat(store.entry(4).data()).isEqualTo(entry(4, 2).data());
+    }
+
+    /** A crash leaves a log that ends anywhere: whole entries stay, the cut one goes, and the log can be continued. */
+    @Test
+    void logCutAtEveryByteKeepsTheCompleteEntries() {
+        MemoryFolder whole = filledFolder();
+        byte[] log = whole.file("log");
+        RecordFrame.Scan scan = RecordFrame.scan("log", log);
+        long headBytes = scan.offsets().get(1);
+
+        for (int length = (int) headBytes; length < log.length; length++) {
+            for (boolean zeros : new boolean[] {false, true}) {
+                MemoryFolder folder = whole.copy();
+                byte[] cut = Arrays.copyOf(log, length);
+                folder.put("log", zeros ? Arrays.copyOf(cut, log.length) : cut);
+                MemberStore store = MemberStore.open(folder, "a.2");
+
+                int limit = length;
+                long complete = scan.offsets().stream()
+                                .filter(offset -> offset <= limit)
+                                .count()
+                        - 2;
+                assertThat(store.lastIndex()).isEqualTo(complete);
+                store.append(List.of(entry(complete + 1, 3)));
+                assertThat(MemberStore.open(folder, "a.2").termAt(complete + 1)).isEqualTo(3);
+            }
+        }
+    }
+
+    /** A damaged byte is not an incomplete end: to drop entries from there on would undo accepted changes. */
+    @ParameterizedTest
+    @ValueSource(ints = {0x01, 0x40, 0xFF})
+    void everyDamagedByteIsRefusedWithFileAndOffset(int mask) {
+        MemoryFolder whole = filledFolder();
+        byte[] log = whole.file("log");
+
+        for (int position = 0; position < log.length; position++) {
+            byte[] damaged = log.clone();
+            damaged[position] ^= (byte) mask;
+            MemoryFolder folder = whole.copy();
+            folder.put("log", damaged);
+
+            StorageException refused = assertThrows(StorageException.class, () -> MemberStore.open(folder, "a.2"));
+            assertThat(refused).hasMessageThat().containsMatch("memory/log is corrupt at offset \\d+");
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"vote", "snapshot", "member"})
+    void everyDamagedByteOfAWholeFileIsRefused(String name) {
+        MemoryFolder whole = filledFolder();
+        MemberStore.open(whole, "").saveSnapshot(new Snapshot(4, 2, new byte[] {1}, new byte[] {2}));
+        byte[] content = whole.file(name);
+
+        for (int position = 0; position < content.length; position++) {
+            byte[] damaged = content.clone();
+            damaged[position] ^= 0x10;
+            MemoryFolder folder = whole.copy();
+            folder.put(name, damaged);
+            assertThrows(StorageException.class, () -> MemberStore.open(folder, "a.2"));
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"vote", "log", "member", "snapshot"})
+    void folderWithAMissingFileIsRefused(String name) {
+        MemoryFolder folder = filledFolder();
+        MemberStore.open(folder, "").saveSnapshot(new Snapshot(4, 2, new byte[] {1}, new byte[] {2}));
+        folder.delete(name);
+
+        assertThrows(StorageException.class, () -> MemberStore.open(folder, "a.2"));
+    }
+
+    @Test
+    void emptyFolderGetsTheNewIdentity() {
+        assertThat(MemberStore.open(new MemoryFolder(), "a.2").memberId()).isEqualTo("a.2");
+    }
+
+    /** Power loss at each write: whatever was reported as stored is there, and nothing else than one open write. */
+    @ParameterizedTest
+    @ValueSource(doubles = {0, 0.3, 0.9, 1})
+    void powerLossAtEveryWriteLosesNothingThatCounted(double fraction) {
+        for (int writes = 0; writes < 24; writes++) {
+            MemoryFolder folder = new MemoryFolder();
+            folder.losePower(writes, fraction);
+            long counted = 0;
+            long tried = 0;
+            try {
+                MemberStore store = MemberStore.open(folder, "a.1");
+                for (long index = 1; index <= 12; index++) {
+                    tried = index;
+                    store.append(List.of(entry(index, 1)));
+                    counted = index;
+                    if (index % 5 == 0) {
+                        store.saveSnapshot(new Snapshot(index - 1, 1, new byte[0], new byte[0]));
+                    }
+                }
+            } catch (StorageException expected) {
+                assertThat(expected).hasMessageThat().contains("cannot be synced");
+            }
+            folder.restorePower();
+            MemberStore store = MemberStore.open(folder, "a.1");
+            assertThat(store.lastIndex()).isAtLeast(counted);
+            assertThat(store.lastIndex()).isAtMost(tried);
+        }
+    }
+
+    @Test
+    void snapshotReplacesTheLogBeforeIt() {
+        MemoryFolder folder = filledFolder();
+        MemberStore store = MemberStore.open(folder, "");
+        store.saveSnapshot(new Snapshot(4, 2, new byte[] {1}, new byte[] {2}));
+
+        MemberStore reopened = MemberStore.open(folder, "");
+        assertThat(reopened.snapshot().lastIndex()).isEqualTo(4);
+        assertThat(reopened.lastIndex()).isEqualTo(ENTRIES);
+        assertThat(reopened.entry(5).data()).isEqualTo(entry(5, 2).data());
+    }
+
+    /** A crash between the rename of a snapshot and the compaction of the log must not bring back old entries. */
+    @ParameterizedTest
+    @ValueSource(longs = {2, 5})
+    void logOlderThanTheSnapshotIsDroppedUnlessItFollows(long snapshotTerm) {
+        MemoryFolder folder = filledFolder();
+        byte[] oldLog = folder.file("log");
+        MemberStore.open(folder, "").saveSnapshot(new Snapshot(4, snapshotTerm, new byte[] {1}, new byte[] {2}));
+        folder.put("log", oldLog);
+
+        long expected = snapshotTerm == 2 ? ENTRIES : 4;
+        assertThat(MemberStore.open(folder, "").lastIndex()).isEqualTo(expected);
+    }
+
+    @Test
+    void truncatedEntriesDoNotComeBack() {
+        MemoryFolder folder = filledFolder();
+        MemberStore store = MemberStore.open(folder, "");
+        store.truncateFrom(3);
+        store.append(List.of(entry(3, 4)));
+
+        MemberStore reopened = MemberStore.open(folder, "");
+        assertThat(reopened.lastIndex()).isEqualTo(3);
+        assertThat(reopened.termAt(3)).isEqualTo(4);
+    }
+
+    @Test
+    void twoProcessesCannotUseOneFolder(@TempDir Path path) {
+        try (DiskFolder first = DiskFolder.open(path.resolve("data"))) {
+            StorageException refused =
+                    assertThrows(StorageException.class, () -> DiskFolder.open(path.resolve("data")));
+            assertThat(refused).hasMessageThat().contains("in use by another process");
+            assertThat(first.location()).endsWith("data");
+        }
+        DiskFolder.open(path.resolve("data")).close();
+    }
+
+    @Test
+    void diskFolderKeepsWhatTheStoreWrote(@TempDir Path path) {
+        try (MemberStore store = MemberStore.open(DiskFolder.open(path), "a.1")) {
+            store.append(List.of(entry(1, 1), entry(2, 1), entry(3, 1)));
+            store.truncateFrom(3);
+            store.saveSnapshot(new Snapshot(1, 1, new byte[0], new byte[0]));
+            store.append(List.of(entry(3, 2)));
+        }
+        try (MemberStore store = MemberStore.open(DiskFolder.open(path), "a.2")) {
+            assertThat(store.memberId()).isEqualTo("a.1");
+            assertThat(store.snapshot().lastIndex()).isEqualTo(1);
+            assertThat(store.termAt(3)).isEqualTo(2);
+        }
+    }
+}
--- /dev/null
+++ b/sequoianotch-control/src/test/java/org/sequoianotch/control/state/Samples.java
@@ -0,0 +1,38 @@
+package org.sequoianotch.control.state;
+
+import org.sequoianotch.model.OrganisationName;
+
+/** Template texts and changes for tests. */
+public final class Samples {
+    /** The organisation of the sample texts. */
+    public static final OrganisationName BELLWORKS = OrganisationName.of("lone-star-bellworks");
+
+    private Samples() {}
+
+    /** Returns a valid text with a given deadline. */
+    public static String text(long deadlineMs) {
+        return text(BELLWORKS, "jobbook", deadlineMs);
+    }
+
+    /** Returns a valid text for an organisation with one service. */
+    public static String text(OrganisationName organisation, String service, long deadlineMs) {
+        return """
+                [template]
+                organisation = %s
+                deadline_ms = %d
+
+                [service %s]
+                max_in_flight = 50
+
+                [route %s * /]
+                criticality = standard
+                repeat = safe
+                """
+                .formatted(organisation, deadlineMs, service, service);
+    }
+
+    /** Returns a change of the sample organisation. */
+    public static ChangeRequest change(String changeId, String operator, long deadlineMs, long expectedRevision) {
+        return new ChangeRequest(changeId, operator, BELLWORKS, text(deadlineMs), expectedRevision);
+    }
+}
