--- a/sequoianotch-control/src/main/java/org/sequoianotch/control/ControlGroup.java
+++ b/sequoianotch-control/src/main/java/org/sequoianotch/control/ControlGroup.java
@@ -194,6 +194,16 @@
                 .map(bytes -> TemplateTexts.decode(new Decoder(bytes)));
     }
 
+    /** Reads as current without waiting for a leader. */
+    Either<Failure, byte[]> readOnce() {
+        return atLeaderOnce(this::readHere, new Question.Read(false));
+    }
+
+    /** Returns the encoded state as it is known here. */
+    byte[] stateBytes() {
+        return raft().inspect(state::snapshot);
+    }
+
     private Either<Failure, byte[]> readHere() {
         return raft().readCurrent(state::texts).map(texts -> {
             Encoder encoder = new Encoder();
@@ -234,11 +244,16 @@
                         Topic.CONTROL,
                         forwarded.toBytes(),
                         options.changeTimeoutMs())
-                .mapLeft(failure -> ControlError.ANSWER_LOST.failure(
-                        "Asking the leader on host " + leader.get().host() + " failed: " + failure.detail()))
+                .mapLeft(failure -> unanswered(leader.get().host(), failure))
                 .flatMap(Question::open);
     }
 
+    /** A question that was not sent may be tried again at the next leader; any other may have been carried out. */
+    private static Failure unanswered(HostId leader, Failure failure) {
+        ControlError error = failure.provesNotRun() ? ControlError.NO_LEADER : ControlError.ANSWER_LOST;
+        return error.failure("Asking the leader on host " + leader + " failed: " + failure.detail());
+    }
+
     private static boolean isNoLeader(Either<Failure, byte[]> answer) {
         return answer.isLeft() && answer.getLeft().detail().startsWith(ControlError.NO_LEADER.code() + ":");
     }
@@ -306,6 +321,9 @@
                 return Either.right(Question.envelope(answer(from, Question.of(payload))));
             } catch (IllegalArgumentException e) {
                 return Either.left(Failure.of(ErrorKind.BAD_REQUEST, String.valueOf(e.getMessage())));
+            } catch (RuntimeException e) {
+                LOGGER.error("[control] A question of host {} failed on a defect.", from, e);
+                return Either.left(Failure.of(ErrorKind.INTERNAL, String.valueOf(e.getMessage())));
             }
         };
     }
@@ -334,7 +352,8 @@
 
     private Question.FetchAnswer fetch(Question.Fetch question) {
         TemplateTexts texts = TemplateFollower.awaitNewer(board, question, MAX_FETCH_WAIT_MS);
-        boolean inContact = raft().status().inContact();
+        Running present = running;
+        boolean inContact = present != null && present.raft().status().inContact();
         return new Question.FetchAnswer(inContact, texts.revision() > question.knownRevision(), texts);
     }
 
--- a/sequoianotch-control/src/main/java/org/sequoianotch/control/TemplateFollower.java
+++ b/sequoianotch-control/src/main/java/org/sequoianotch/control/TemplateFollower.java
@@ -114,14 +114,22 @@
     private void followLoop() {
         try {
             while (!closed) {
-                if (!pollRound(options.pollWaitMs())) {
+                if (!pollSafely()) {
                     clock.sleep(options.retryMs());
                 }
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
+        }
+    }
+
+    /** A defect in one round must not keep the node from following later revisions. */
+    private boolean pollSafely() {
+        try {
+            return pollRound(options.pollWaitMs());
         } catch (RuntimeException e) {
-            LOGGER.error("[control] The template follower stopped on a defect.", e);
+            LOGGER.error("[control] A round of the template follower failed on a defect.", e);
+            return false;
         }
     }
 
--- /dev/null
+++ b/sequoianotch-control/src/test/java/org/sequoianotch/control/ControlCapacityTest.java
@@ -0,0 +1,112 @@
+package org.sequoianotch.control;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.sequoianotch.control.state.Samples.change;
+
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.sequoianotch.control.state.ChangeResult.Accepted;
+import org.sequoianotch.model.HostId;
+
+/**
+ * Guards the targets of the control group: 910 changes a day, and a restart after hundreds of changes. It prints the
+ * figures that {@code docs/CAPACITY.md} uses.
+ */
+final class ControlCapacityTest {
+    private static final int COMMITS = 300;
+    /** Far below the 95 s between two changes at 910 a day; a commit is two synced writes one after the other. */
+    private static final double MAX_MEDIAN_COMMIT_MS = 1_000;
+
+    private static final long MAX_RESTART_MS = 10_000;
+
+    @TempDir
+    private Path folder;
+
+    @Test
+    void commitsAndHeartbeatsAreCheap() throws InterruptedException {
+        try (ControlHosts hosts = new ControlHosts(folder, 3)) {
+            ControlGroup leader = hosts.group(hosts.leader());
+            double[] timesMs = new double[COMMITS];
+            long idleBytes = measureIdleSecond(hosts);
+            long bytesBefore = hosts.network.bytes.get();
+            for (int i = 0; i < COMMITS; i++) {
+                long startNanos = System.nanoTime();
+                assertThat(leader.apply(change("c" + i, "ana", 1_000 + i, i)).get())
+                        .isEqualTo(new Accepted(i + 1));
+                timesMs[i] = (System.nanoTime() - startNanos) / 1e6;
+            }
+            long changeBytes = (hosts.network.bytes.get() - bytesBefore) / COMMITS;
+            Arrays.sort(timesMs);
+            System.out.printf(
+                    "Commit with 3 members on real files: median %.2f ms, p99 %.2f ms, max %.2f ms (%d changes)%n",
+                    timesMs[COMMITS / 2], timesMs[COMMITS * 99 / 100], timesMs[COMMITS - 1], COMMITS);
+            System.out.printf(
+                    "Bytes for each change with a template of %d bytes, all members: %d%n",
+                    change("c", "ana", 1_000, 0).templateText().length(), changeBytes);
+            System.out.printf("Bytes for each heartbeat with its answer: %d%n", idleBytes);
+            assertThat(timesMs[COMMITS / 2]).isLessThan(MAX_MEDIAN_COMMIT_MS);
+            assertThat(idleBytes).isLessThan(1_000);
+        }
+    }
+
+    private static long measureIdleSecond(ControlHosts hosts) throws InterruptedException {
+        Thread.sleep(500);
+        long bytes = hosts.network.bytes.get();
+        long questions = hosts.network.questions.get();
+        Thread.sleep(1_000);
+        return (hosts.network.bytes.get() - bytes) / Math.max(1, hosts.network.questions.get() - questions);
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {100, 500, 2_000})
+    void restartIsFastAndGivesTheSameState(int changes) {
+        try (ControlHosts hosts = new ControlHosts(folder, 1)) {
+            HostId host = hosts.leader();
+            for (int i = 0; i < changes; i++) {
+                hosts.group(host).apply(change("c" + i, "ana", 1_000 + i, i)).get();
+            }
+            byte[] before = hosts.group(host).stateBytes();
+            hosts.stop(host);
+
+            long startNanos = System.nanoTime();
+            hosts.start(host);
+            double openedMs = (System.nanoTime() - startNanos) / 1e6;
+            hosts.group(host).read().get();
+            double currentMs = (System.nanoTime() - startNanos) / 1e6;
+
+            assertThat(hosts.group(host).stateBytes()).isEqualTo(before);
+            System.out.printf(
+                    "Restart after %d changes: folder read in %.1f ms, current with its election after %.1f ms,"
+                            + " state of %d bytes%n",
+                    changes, openedMs, currentMs, before.length);
+            assertThat(currentMs).isLessThan((double) MAX_RESTART_MS);
+        }
+    }
+
+    @Test
+    void roundsOfManyHostsDoNotRepeatTemplates() {
+        try (ControlHosts hosts = new ControlHosts(folder, 1)) {
+            HostId host = hosts.leader();
+            hosts.group(host).apply(change("c1", "ana", 1_000, 0)).get();
+            ControlHosts.await("revision 1", () -> hosts.group(host).revision() == 1);
+            List<Integer> sizes = List.of(1, 0).stream()
+                    .map(known -> hosts.group(host)
+                            .askHandler()
+                            .handle(HostId.of("node"), new Question.Fetch(known, 0).toBytes())
+                            .get()
+                            .length)
+                    .toList();
+            System.out.printf(
+                    "Answer to a node's poll: %d bytes without news, %d bytes with a template of %d bytes%n",
+                    sizes.get(0),
+                    sizes.get(1),
+                    change("c", "ana", 1_000, 0).templateText().length());
+            assertThat(sizes.get(0)).isLessThan(16);
+        }
+    }
+}
--- /dev/null
+++ b/sequoianotch-control/src/test/java/org/sequoianotch/control/ControlHosts.java
@@ -0,0 +1,111 @@
+package org.sequoianotch.control;
+
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Comparator;
+import java.util.List;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import java.util.function.BooleanSupplier;
+import java.util.stream.Stream;
+import org.sequoianotch.control.group.Role;
+import org.sequoianotch.model.HostId;
+import org.sequoianotch.time.SystemClock;
+
+/** Control hosts of one process with real threads and real folders. */
+final class ControlHosts implements AutoCloseable {
+    private static final long ELECTION_TIMEOUT_MS = 150;
+
+    final LocalNetwork network = new LocalNetwork();
+    final SortedMap<HostId, ControlGroup> groups = new TreeMap<>();
+    private final SortedMap<HostId, String> addresses = new TreeMap<>();
+    private final Path folder;
+
+    ControlHosts(Path folder, int size) {
+        this.folder = folder;
+        for (int i = 0; i < size; i++) {
+            addresses.put(HostId.of("control-" + i), "control-" + i);
+        }
+        addresses.keySet().forEach(this::start);
+    }
+
+    void start(HostId host) {
+        ControlGroupOptions options =
+                ControlGroupOptions.of(host, addresses, folder.resolve(host.name()), ELECTION_TIMEOUT_MS);
+        ControlGroup group = new ControlGroup(options, network.asker(host.name()), SystemClock.INSTANCE);
+        network.register(host.name(), group.askHandler());
+        group.start();
+        groups.put(host, group);
+    }
+
+    void stop(HostId host) {
+        network.unregister(host.name());
+        groups.remove(host).close();
+    }
+
+    void loseDisk(HostId host) {
+        try (Stream<Path> files = Files.walk(folder.resolve(host.name()))) {
+            for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
+                Files.delete(file);
+            }
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    HostId leader() {
+        await("a leader", () -> groups.values().stream().anyMatch(ControlHosts::leads));
+        return groups.entrySet().stream()
+                .filter(entry -> leads(entry.getValue()))
+                .map(entry -> entry.getKey())
+                .findFirst()
+                .orElseGet(this::leader);
+    }
+
+    HostId follower() {
+        HostId leader = leader();
+        return groups.keySet().stream()
+                .filter(host -> !host.equals(leader))
+                .findFirst()
+                .orElseThrow();
+    }
+
+    ControlGroup group(HostId host) {
+        ControlGroup group = groups.get(host);
+        if (group == null) {
+            throw new AssertionError(host + " is not started");
+        }
+        return group;
+    }
+
+    List<String> addresses() {
+        return List.copyOf(addresses.values());
+    }
+
+    private static boolean leads(ControlGroup group) {
+        return group.status().role() == Role.LEADER && group.status().inContact();
+    }
+
+    static void await(String what, BooleanSupplier condition) {
+        long endNanos = System.nanoTime() + 20_000_000_000L;
+        boolean reached = condition.getAsBoolean();
+        while (!reached && System.nanoTime() < endNanos) {
+            try {
+                Thread.sleep(5);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+            reached = condition.getAsBoolean();
+        }
+        assertWithMessage(what + " within 20 s").that(reached).isTrue();
+    }
+
+    @Override
+    public void close() {
+        List.copyOf(groups.keySet()).forEach(this::stop);
+    }
+}
--- /dev/null
+++ b/sequoianotch-control/src/test/java/org/sequoianotch/control/LocalNetwork.java
@@ -0,0 +1,49 @@
+package org.sequoianotch.control;
+
+import io.vavr.control.Either;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import org.sequoianotch.error.ErrorKind;
+import org.sequoianotch.error.Failure;
+import org.sequoianotch.model.HostId;
+import org.sequoianotch.protocol.Topic;
+import org.sequoianotch.protocol.link.AskHandler;
+import org.sequoianotch.protocol.link.Asker;
+
+/** Passes questions between hosts of one process, whose addresses are their names. */
+final class LocalNetwork {
+    final Set<String> cutOff = ConcurrentHashMap.newKeySet();
+    /** Hosts whose answers to changes are lost after the change was carried out. */
+    final Set<String> losesChangeAnswers = ConcurrentHashMap.newKeySet();
+
+    final AtomicLong bytes = new AtomicLong();
+    final AtomicLong questions = new AtomicLong();
+    private final Map<String, AskHandler> handlers = new ConcurrentHashMap<>();
+
+    void register(String address, AskHandler handler) {
+        handlers.put(address, handler);
+    }
+
+    void unregister(String address) {
+        handlers.remove(address);
+    }
+
+    Asker asker(String from) {
+        return (address, topic, payload, timeoutMs) -> {
+            AskHandler handler = handlers.get(address);
+            boolean cut = !from.equals(address) && (cutOff.contains(from) || cutOff.contains(address));
+            if (handler == null || cut || topic != Topic.CONTROL) {
+                return Either.left(Failure.of(ErrorKind.NO_INSTANCE, address + " is out of reach"));
+            }
+            Either<Failure, byte[]> answer = handler.handle(HostId.of(from), payload);
+            questions.incrementAndGet();
+            bytes.addAndGet(payload.length + answer.map(found -> found.length).getOrElse(0));
+            if (Question.of(payload) instanceof Question.Change && losesChangeAnswers.remove(address)) {
+                return Either.left(Failure.of(ErrorKind.CONNECTION_LOST, "the answer was lost"));
+            }
+            return answer;
+        };
+    }
+}
--- /dev/null
+++ b/sequoianotch-control/src/test/java/org/sequoianotch/control/TemplateFollowerTest.java
@@ -0,0 +1,160 @@
+package org.sequoianotch.control;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import org.junit.jupiter.api.Test;
+import org.sequoianotch.control.Question.FetchAnswer;
+import org.sequoianotch.control.state.Samples;
+import org.sequoianotch.control.state.TemplateTexts;
+import org.sequoianotch.error.ErrorKind;
+import org.sequoianotch.error.Failure;
+import org.sequoianotch.model.HostId;
+import org.sequoianotch.model.OrganisationName;
+import org.sequoianotch.protocol.link.Asker;
+import org.sequoianotch.template.TemplateSet;
+import org.sequoianotch.time.ManualClock;
+
+/** Guards against a node that moves back to an older template, or that stays behind without need. */
+final class TemplateFollowerTest {
+    private static final FollowerOptions OPTIONS = FollowerOptions.of(List.of("control-a", "control-b"));
+
+    /** What each host in reach answers: its templates, and whether it is in contact with the group. */
+    private final Map<String, FetchAnswer> hosts = new HashMap<>();
+
+    private final List<String> asked = new ArrayList<>();
+    private final List<Long> told = new ArrayList<>();
+
+    private static TemplateTexts texts(long revision) {
+        SortedMap<OrganisationName, String> texts = new TreeMap<>();
+        texts.put(Samples.BELLWORKS, Samples.text(1_000 + revision));
+        return new TemplateTexts(revision, texts);
+    }
+
+    private void host(String address, long revision, boolean inContact) {
+        hosts.put(address, new FetchAnswer(inContact, true, texts(revision)));
+    }
+
+    private TemplateFollower follower(List<String> neighbours) {
+        Asker asker = (address, topic, payload, timeoutMs) -> {
+            synchronized (asked) {
+                asked.add(address);
+            }
+            FetchAnswer found = hosts.get(address);
+            long known = ((Question.Fetch) Question.of(payload)).knownRevision();
+            return found == null
+                    ? Either.left(Failure.of(ErrorKind.NO_INSTANCE, "out of reach"))
+                    : Either.right(Question.envelope(Either.right(
+                            new FetchAnswer(found.inContact(), found.texts().revision() > known, found.texts())
+                                    .toBytes())));
+        };
+        TemplateFollower follower = new TemplateFollower(
+                OPTIONS, TemplateSet.EMPTY, asker, ManualClock.startingAt(0), () -> neighbours, new Random(1));
+        follower.addListener(templates -> told.add(templates.revision()));
+        return follower;
+    }
+
+    /** After a partition only a control host that is behind may be in reach. */
+    @Test
+    void neverMovesBackWhenOnlyAnIsolatedControlHostIsInReach() {
+        TemplateFollower follower = follower(List.of());
+        host("control-a", 7, true);
+        follower.pollRound(1);
+        hosts.clear();
+        host("control-b", 5, false);
+
+        assertThat(follower.pollRound(1)).isFalse();
+
+        assertThat(follower.current().revision()).isEqualTo(7);
+        assertThat(told).containsExactly(7L);
+    }
+
+    /** The control host in reach may be isolated, while a neighbour has learned more. */
+    @Test
+    void takesTheHighestRevisionInReachFromNeighbours() {
+        TemplateFollower follower = follower(List.of("node-1", "node-2"));
+        host("control-a", 5, false);
+        host("node-1", 9, false);
+        host("node-2", 8, false);
+
+        follower.pollRound(1);
+
+        assertThat(follower.current().revision()).isEqualTo(9);
+    }
+
+    @Test
+    void restartedNodeStartsWithTheHighestRevisionOfItsNeighbours() {
+        TemplateFollower follower = follower(List.of("node-1", "node-2", "node-3"));
+        host("control-a", 5, true);
+        host("node-1", 6, false);
+        host("node-3", 9, false);
+
+        follower.askAtStart();
+
+        assertThat(follower.current().revision()).isEqualTo(9);
+        assertThat(follower.current().templates()).containsKey(Samples.BELLWORKS);
+    }
+
+    @Test
+    void staysAtTheFirstControlHostAndFallsBackToTheNext() {
+        TemplateFollower follower = follower(List.of());
+        host("control-a", 1, true);
+        host("control-b", 1, true);
+        follower.pollRound(1);
+        follower.pollRound(1);
+        assertThat(asked).containsExactly("control-a", "control-a");
+        asked.clear();
+        hosts.remove("control-a");
+        follower.pollRound(1);
+        follower.pollRound(1);
+        assertThat(asked).containsExactly("control-a", "control-b", "control-b").inOrder();
+    }
+
+    /** A template that this version cannot read must not replace one that protects. */
+    @Test
+    void unreadableTemplateLeavesThePresentOneInForce() {
+        TemplateFollower follower = follower(List.of());
+        follower.offer(texts(3));
+        SortedMap<OrganisationName, String> broken = new TreeMap<>();
+        broken.put(Samples.BELLWORKS, "[template]\norganisation = \n");
+
+        assertThat(follower.offer(new TemplateTexts(4, broken))).isFalse();
+
+        assertThat(follower.current().revision()).isEqualTo(3);
+    }
+
+    @Test
+    void hintOfAHigherRevisionIsFollowed() {
+        TemplateFollower follower = follower(List.of());
+        host("node-7", 12, false);
+        follower.hint(0, "node-8");
+        follower.hint(12, "node-7");
+
+        ControlHosts.await("revision 12", () -> follower.current().revision() == 12);
+        assertThat(asked).containsExactly("node-7");
+    }
+
+    @Test
+    void servesItsOwnCopyToNeighbours() {
+        TemplateFollower follower = follower(List.of());
+        follower.offer(texts(4));
+        byte[] question = new Question.Fetch(3, 0).toBytes();
+
+        byte[] envelope =
+                follower.askHandler().handle(HostId.of("node-2"), question).get();
+
+        FetchAnswer answer = FetchAnswer.of(Question.open(envelope).get());
+        assertThat(answer.texts()).isEqualTo(texts(4));
+        assertThat(answer.inContact()).isFalse();
+        byte[] change = new Question.Read(true).toBytes();
+        assertThat(follower.askHandler().handle(HostId.of("node-2"), change).isLeft())
+                .isTrue();
+    }
+}
