--- a/sequoianotch-control/src/main/java/org/sequoianotch/control/Admission.java
+++ b/sequoianotch-control/src/main/java/org/sequoianotch/control/Admission.java
@@ -13,6 +13,7 @@
 import org.sequoianotch.control.group.Member;
 import org.sequoianotch.control.group.MemberSet;
 import org.sequoianotch.control.group.RaftMember;
+import org.sequoianotch.control.group.Role;
 import org.sequoianotch.control.state.ControlError;
 import org.sequoianotch.error.ErrorKind;
 import org.sequoianotch.error.Failure;
@@ -57,7 +58,7 @@
         return options.hosts().getOrDefault(options.host(), "");
     }
 
-    /** One attempt of a member without a group to form one or to join one. */
+    /** One attempt of a host that is no member to form a group, or to be admitted by one. */
     void formOrJoin() {
         Map<HostId, HelloAnswer> answers = new TreeMap<>();
         options.hosts().forEach((host, address) -> {
@@ -73,7 +74,7 @@
             Member self = self();
             Question join = new Question.Join(self.id(), self.host(), self.address());
             formed.forEach(host -> ask(options.hosts().getOrDefault(host, ""), join));
-        } else if (mayForm(answers)) {
+        } else if (!raft.isFormed() && mayForm(answers)) {
             MemberSet founders = new MemberSet(UUID.randomUUID().toString(), List.of(self()));
             for (HelloAnswer answer : answers.values()) {
                 founders = founders.plus(answer.member());
@@ -175,7 +176,7 @@
     private Either<Failure, Boolean> awaitCaughtUp(Member newcomer) {
         double endMs = clock.monotonicMs() + options.admissionTimeoutMs();
         try {
-            while (clock.monotonicMs() < endMs) {
+            while (clock.monotonicMs() < endMs && raft.status().role() == Role.LEADER) {
                 if (raft.hasCaughtUp(newcomer.id())) {
                     return Either.right(true);
                 }
--- a/sequoianotch-control/src/main/java/org/sequoianotch/control/ControlGroup.java
+++ b/sequoianotch-control/src/main/java/org/sequoianotch/control/ControlGroup.java
@@ -98,6 +98,9 @@
         } catch (StorageException e) {
             folder.close();
             throw e;
+        } catch (IllegalArgumentException e) {
+            folder.close();
+            throw new StorageException("the snapshot in " + options.dataFolder() + " cannot be read", e);
         }
     }
 
@@ -125,7 +128,7 @@
     }
 
     private void formationLoop(Running started) throws InterruptedException {
-        while (running != null && !started.raft().isFormed()) {
+        while (running != null && !started.raft().isVoter()) {
             try {
                 started.admission().formOrJoin();
             } catch (IllegalArgumentException e) {
@@ -351,9 +354,11 @@
     }
 
     private Question.FetchAnswer fetch(Question.Fetch question) {
-        TemplateTexts texts = TemplateFollower.awaitNewer(board, question, MAX_FETCH_WAIT_MS);
         Running present = running;
         boolean inContact = present != null && present.raft().status().inContact();
+        // Without contact there is nothing to wait for: the node should ask another control host.
+        long maxWaitMs = inContact ? MAX_FETCH_WAIT_MS : 0;
+        TemplateTexts texts = TemplateFollower.awaitNewer(board, question, maxWaitMs);
         return new Question.FetchAnswer(inContact, texts.revision() > question.knownRevision(), texts);
     }
 
--- a/sequoianotch-control/src/main/java/org/sequoianotch/control/TemplateFollower.java
+++ b/sequoianotch-control/src/main/java/org/sequoianotch/control/TemplateFollower.java
@@ -53,6 +53,8 @@
     private @Nullable Thread thread;
     private int position;
     private double leftPreferredAtMs;
+    /** Highest revision that could not be read here; it is not asked for again. */
+    private volatile long unreadableRevision;
 
     /**
      * Creates a follower that is not started.
@@ -144,7 +146,8 @@
             position = 0;
         }
         for (int i = 0; i < addresses.size() && !closed; i++) {
-            Either<Failure, FetchAnswer> answer = fetch(addresses.get(position), waitMs);
+            // Only the first host holds the question, so that a host in contact is found soon after it fails.
+            Either<Failure, FetchAnswer> answer = fetch(addresses.get(position), i == 0 ? waitMs : 0);
             if (answer.isRight() && answer.get().inContact()) {
                 return true;
             }
@@ -158,7 +161,7 @@
     }
 
     private Either<Failure, FetchAnswer> fetch(String address, long waitMs) {
-        Question question = new Question.Fetch(current.revision(), waitMs);
+        Question question = new Question.Fetch(Math.max(current.revision(), unreadableRevision), waitMs);
         Either<Failure, FetchAnswer> answer = asker.ask(
                         address, Topic.CONTROL, question.toBytes(), waitMs + options.askTimeoutMs())
                 .flatMap(Question::open)
@@ -187,6 +190,7 @@
         }
         Either<List<SettingsProblem>, TemplateSet> parsed = texts.parse();
         if (parsed.isLeft()) {
+            unreadableRevision = Math.max(unreadableRevision, texts.revision());
             LOGGER.error(
                     "[control] Revision {} cannot be read here; revision {} stays in force: {}",
                     texts.revision(),
--- a/sequoianotch-control/src/main/java/org/sequoianotch/control/group/PeerTable.java
+++ b/sequoianotch-control/src/main/java/org/sequoianotch/control/group/PeerTable.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.Arrays;
-import java.util.Collection;
 import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
@@ -69,7 +68,7 @@
         refresh();
     }
 
-    Collection<Member> members() {
+    List<Member> members() {
         return peers.values().stream().map(peer -> peer.member).toList();
     }
 
--- a/sequoianotch-control/src/main/java/org/sequoianotch/control/group/RaftMember.java
+++ b/sequoianotch-control/src/main/java/org/sequoianotch/control/group/RaftMember.java
@@ -1,7 +1,6 @@
 package org.sequoianotch.control.group;
 
 import io.vavr.control.Either;
-import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
@@ -88,7 +87,7 @@
     /**
      * Tells whether this member has anything of a group's log.
      *
-     * @return true if it belongs to a group
+     * @return true if it does
      */
     public synchronized boolean isFormed() {
         return replica.store.lastIndex() > 0;
@@ -104,7 +103,7 @@
                     stepDown(term(), "no majority answers");
                 }
             } else if (election.isDue() && isVoter()) {
-                startPreVote();
+                startRound(Role.PRE_CANDIDATE);
             }
             boolean lagging = role == Role.LEADER && peers.someLag();
             replica.compact(lagging ? settings.snapshotEntries() * 2L : settings.snapshotEntries());
@@ -112,28 +111,27 @@
         });
     }
 
-    private void startPreVote() {
-        startRound(Role.PRE_CANDIDATE);
-        if (election.isWon(replica.members())) {
-            startElection();
-        }
-    }
-
     private void startElection() {
         replica.store.saveVote(term() + 1, ownId);
         startRound(Role.CANDIDATE);
-        if (election.isWon(replica.members())) {
-            lead();
-        }
     }
 
     private void startRound(Role newRole) {
         role = newRole;
         leader = null;
         election.startRound();
-        election.addVote(ownId);
         peers.reset();
         notifyAll();
+        addVote(ownId);
+    }
+
+    private void addVote(String voterId) {
+        election.addVote(voterId);
+        if (election.isWon(replica.members()) && role == Role.PRE_CANDIDATE) {
+            startElection();
+        } else if (election.isWon(replica.members())) {
+            lead();
+        }
     }
 
     private void lead() {
@@ -150,6 +148,7 @@
     private void stepDown(long newTerm, String reason) {
         if (newTerm > term()) {
             replica.store.saveVote(newTerm, "");
+            leader = null;
         }
         if (role == Role.LEADER) {
             LOGGER.info("[control] Member {} no longer leads the control group: {}.", ownId, reason);
@@ -165,7 +164,12 @@
         notifyAll();
     }
 
-    private boolean isVoter() {
+    /**
+     * Tells whether this member votes by the newest entry that names the members.
+     *
+     * @return true if it is one of the members
+     */
+    public synchronized boolean isVoter() {
         return replica.members().member(ownId).isPresent();
     }
 
@@ -304,16 +308,8 @@
     private void countVote(Outgoing question, VoteReply reply) {
         boolean preVote = question.request() instanceof VoteRequest request && request.preVote();
         boolean thisRound = role == (preVote ? Role.PRE_CANDIDATE : Role.CANDIDATE);
-        if (!thisRound || !reply.granted()) {
-            return;
-        }
-        election.addVote(question.peer().id());
-        if (election.isWon(replica.members())) {
-            if (preVote) {
-                startElection();
-            } else {
-                lead();
-            }
+        if (thisRound && reply.granted()) {
+            addVote(question.peer().id());
         }
     }
 
@@ -454,9 +450,7 @@
 
     private double leaseLeftMs() {
         double nowMs = clock.monotonicMs();
-        return role == Role.LEADER && fault.isEmpty()
-                ? peers.majorityAnsweredAtMs(nowMs) + settings.leaseMs() - nowMs
-                : 0;
+        return role == Role.LEADER ? peers.majorityAnsweredAtMs(nowMs) + settings.leaseMs() - nowMs : 0;
     }
 
     /**
@@ -464,8 +458,8 @@
      *
      * @return the peers, never null
      */
-    public synchronized Collection<Member> peers() {
-        return List.copyOf(peers.members());
+    public synchronized List<Member> peers() {
+        return peers.members();
     }
 
     /**
