--- a/sequoianotch-core/src/main/java/org/sequoianotch/settings/NodeSetting.java
+++ b/sequoianotch-core/src/main/java/org/sequoianotch/settings/NodeSetting.java
@@ -261,6 +261,17 @@
             1,
             1_000_000,
             "Epoch of this data centre's ledger; raised by an operator after the ledger lost its claims."),
+    /** Opening time of the ledger. */
+    LEDGER_OPENED_AT_MS(
+            "ledger",
+            "opened_at_ms",
+            ValueKind.INTEGER,
+            "0",
+            0,
+            Long.MAX_VALUE,
+            "Wall-clock time in ms since 1970 from which keys that callers made up themselves are served, if the ledger"
+                    + " has kept all claims since before then; set once, shortly after the first start of a deployment."
+                    + " 0 refuses such keys until the ledger has run for the retention time."),
     /** Retention of claims. */
     LEDGER_RETENTION_MS(
             "ledger",
--- /dev/null
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/ControlParts.java
@@ -0,0 +1,150 @@
+package org.sequoianotch.daemon;
+
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import org.jspecify.annotations.Nullable;
+import org.sequoianotch.control.ControlClient;
+import org.sequoianotch.control.ControlGroup;
+import org.sequoianotch.control.ControlGroupOptions;
+import org.sequoianotch.control.FollowerOptions;
+import org.sequoianotch.control.TemplateFollower;
+import org.sequoianotch.control.log.StorageException;
+import org.sequoianotch.daemon.call.HostPlace;
+import org.sequoianotch.membership.Member;
+import org.sequoianotch.membership.Membership;
+import org.sequoianotch.membership.MembershipView;
+import org.sequoianotch.model.HostId;
+import org.sequoianotch.protocol.link.AskHandler;
+import org.sequoianotch.protocol.link.Asker;
+import org.sequoianotch.settings.NodeSetting;
+import org.sequoianotch.settings.NodeSettings;
+import org.sequoianotch.template.TemplateSet;
+import org.sequoianotch.time.Clock;
+
+/**
+ * The node's part in the configuration: it follows the control group, and on a control host it is a member of it.
+ *
+ * <p>This class is thread-safe.
+ */
+final class ControlParts {
+    private static final long CHANGE_TIMEOUT_MS = 12_000;
+
+    private final Membership membership;
+    private final TemplateFollower follower;
+    private final ControlClient client;
+    private final @Nullable ControlGroup group;
+
+    private ControlParts(
+            Membership membership, TemplateFollower follower, ControlClient client, @Nullable ControlGroup group) {
+        this.membership = membership;
+        this.follower = follower;
+        this.client = client;
+        this.group = group;
+    }
+
+    /** Creates the parts; empty if the settings name no control hosts. */
+    static Optional<ControlParts> create(
+            NodeSettings settings,
+            HostPlace place,
+            Asker asker,
+            Clock clock,
+            Membership membership,
+            TemplateSource templates) {
+        SortedMap<HostId, String> hosts = controlHosts(settings);
+        if (hosts.isEmpty()) {
+            return Optional.empty();
+        }
+        List<String> addresses = new ArrayList<>(hosts.values());
+        List<String> seeds = settings.list(NodeSetting.MEMBERSHIP_SEEDS);
+        TemplateFollower follower = new TemplateFollower(
+                FollowerOptions.of(addresses),
+                templates.current(),
+                asker,
+                clock,
+                () -> neighbours(membership.view(), place, seeds),
+                new Random());
+        ControlGroup group = null;
+        if (hosts.containsKey(place.host())
+                && settings.path(NodeSetting.CONTROL_DATA_FOLDER).isPresent()) {
+            ControlGroupOptions options = ControlGroupOptions.of(
+                    place.host(),
+                    hosts,
+                    settings.path(NodeSetting.CONTROL_DATA_FOLDER).get(),
+                    settings.number(NodeSetting.CONTROL_ELECTION_TIMEOUT_MS));
+            group = new ControlGroup(options, asker, clock);
+            group.addListener(follower::offer);
+        }
+        follower.addListener(templates::offer);
+        follower.addListener(set -> membership.setConfigurationRevision(set.revision()));
+        ControlClient client = new ControlClient(asker, addresses, CHANGE_TIMEOUT_MS);
+        return Optional.of(new ControlParts(membership, follower, client, group));
+    }
+
+    private static SortedMap<HostId, String> controlHosts(NodeSettings settings) {
+        SortedMap<HostId, String> hosts = new TreeMap<>();
+        for (String item : settings.list(NodeSetting.CONTROL_HOSTS)) {
+            int equals = item.indexOf('=');
+            hosts.put(HostId.of(item.substring(0, equals)), item.substring(equals + 1));
+        }
+        return hosts;
+    }
+
+    /** Nodes of the own data centre first, because the others may be cut off; the seeds serve before any is known. */
+    private static List<String> neighbours(MembershipView view, HostPlace place, List<String> seeds) {
+        Set<String> addresses = new LinkedHashSet<>();
+        view.membersOf(place.dataCentre()).forEach(member -> addresses.add(member.peerAddress()));
+        addresses.addAll(seeds);
+        addresses.remove(place.peerAddress());
+        return List.copyOf(addresses);
+    }
+
+    AskHandler askHandler() {
+        return group == null ? follower.askHandler() : group.askHandler();
+    }
+
+    /** Starts to take part and to follow; the membership must have been started before. */
+    void start() {
+        try {
+            if (group != null) {
+                group.start();
+            }
+        } catch (StorageException e) {
+            throw new NodeStartException("The control group's data folder cannot be used: " + e.getMessage());
+        }
+        membership.addListener((view, changed) -> followHigherRevision(view));
+        follower.start();
+    }
+
+    private void followHigherRevision(MembershipView view) {
+        TemplateSet current = follower.current();
+        if (view.highestConfigurationRevision() <= current.revision()) {
+            return;
+        }
+        view.members().stream()
+                .filter(member -> member.configurationRevision() == view.highestConfigurationRevision())
+                .findFirst()
+                .map(Member::peerAddress)
+                .ifPresent(address -> follower.hint(view.highestConfigurationRevision(), address));
+    }
+
+    ControlClient client() {
+        return client;
+    }
+
+    Optional<ControlGroup> group() {
+        return Optional.ofNullable(group);
+    }
+
+    void close() {
+        follower.close();
+        if (group != null) {
+            group.close();
+        }
+    }
+}
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/LedgerParts.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/LedgerParts.java
@@ -47,9 +47,10 @@
         LedgerHost host = null;
         if (ownGroup.contains(place.peerAddress())) {
             LedgerSettings ledgerSettings = LedgerSettings.of(
-                    settings.number(NodeSetting.LEDGER_EPOCH),
-                    settings.number(NodeSetting.LEDGER_RETENTION_MS),
-                    settings.path(NodeSetting.LEDGER_DATA_FOLDER));
+                            settings.number(NodeSetting.LEDGER_EPOCH),
+                            settings.number(NodeSetting.LEDGER_RETENTION_MS),
+                            settings.path(NodeSetting.LEDGER_DATA_FOLDER))
+                    .withOpenedAtMs(settings.number(NodeSetting.LEDGER_OPENED_AT_MS));
             Either<Failure, LedgerHost> opened =
                     LedgerHost.open(place.peerAddress(), ownGroup, ledgerSettings, asker, clock, counters, random);
             if (opened.isLeft()) {
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/Node.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/Node.java
@@ -6,6 +6,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
@@ -59,6 +60,7 @@
     private final LocalInstances instances;
     private final CallPath callPath;
     private final LedgerParts ledger;
+    private final Optional<ControlParts> control;
     private final List<HttpListener> listeners = new ArrayList<>();
     private volatile boolean stopped;
 
@@ -90,6 +92,8 @@
                 transport.eventLoops(),
                 templates::current);
         instances.setOnChange(membership::announce);
+        templates.addListener(instances::applyTemplates);
+        control = ControlParts.create(settings, place, links, clock, membership, templates);
         ledger = LedgerParts.open(settings, place, mode, links, clock)
                 .getOrElseThrow(failure -> new NodeStartException(failure.detail()));
         CallPath.Surroundings surroundings = new CallPath.Surroundings(
@@ -117,6 +121,7 @@
         links.attach(peerListener);
         peerListener.answer(Topic.MEMBERSHIP, membership.askHandler());
         ledger.host().ifPresent(host -> peerListener.answer(Topic.LEDGER, host.askHandler()));
+        control.ifPresent(parts -> peerListener.answer(Topic.CONTROL, parts.askHandler()));
     }
 
     /**
@@ -158,6 +163,11 @@
             return Either.left(joined.getLeft());
         }
         ledger.host().ifPresent(LedgerHost::start);
+        try {
+            control.ifPresent(ControlParts::start);
+        } catch (NodeStartException e) {
+            return Either.left(Failure.of(ErrorKind.INTERNAL, String.valueOf(e.getMessage())));
+        }
         Thread.ofVirtual().name("lease-check").start(this::checkLeases);
         return bind("backend", NodeSetting.BACKEND_LISTEN, callPath.backendHandler())
                 .flatMap(bound -> bind("caller", NodeSetting.CALLER_LISTEN, callPath.callerHandler()));
@@ -227,6 +237,7 @@
 
     private void close() {
         stopped = true;
+        control.ifPresent(ControlParts::close);
         membership.close();
         links.close();
         peerListener.close();
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/TemplateSource.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/TemplateSource.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicReference;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -25,10 +26,13 @@
 public final class TemplateSource {
     private static final Logger LOG = LogManager.getLogger(TemplateSource.class);
 
+    private final TemplateSet fromFiles;
     private final AtomicReference<TemplateSet> current;
+    private final List<Runnable> listeners = new CopyOnWriteArrayList<>();
 
-    private TemplateSource(TemplateSet initial) {
-        current = new AtomicReference<>(initial);
+    private TemplateSource(TemplateSet fromFiles) {
+        this.fromFiles = fromFiles;
+        current = new AtomicReference<>(fromFiles);
     }
 
     /**
@@ -69,17 +73,31 @@
     }
 
     /**
-     * Puts a higher revision in force; a lower or equal one is ignored.
+     * Puts a higher revision in force; a lower or equal one is ignored. Organisations that it does not contain keep the
+     * template of their file.
      *
      * @param offered the templates; not null
      * @return true if they are now in force
      */
     public boolean offer(TemplateSet offered) {
-        TemplateSet before = current.getAndUpdate(now -> offered.revision() > now.revision() ? offered : now);
-        boolean raised = offered.revision() > before.revision();
+        Map<OrganisationName, ProtectionTemplate> templates = new TreeMap<>(fromFiles.templates());
+        templates.putAll(offered.templates());
+        TemplateSet merged = new TemplateSet(offered.revision(), templates);
+        TemplateSet before = current.getAndUpdate(now -> merged.revision() > now.revision() ? merged : now);
+        boolean raised = merged.revision() > before.revision();
         if (raised) {
-            LOG.info("[node] Revision {} of the templates is in force.", offered.revision());
+            LOG.info("[node] Revision {} of the templates is in force.", merged.revision());
+            listeners.forEach(Runnable::run);
         }
         return raised;
     }
+
+    /**
+     * Adds an action that runs after each change.
+     *
+     * @param action the action, which must return quickly; not null
+     */
+    public void addListener(Runnable action) {
+        listeners.add(action);
+    }
 }
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/LocalInstance.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/LocalInstance.java
@@ -4,6 +4,7 @@
 import org.sequoianotch.model.BackendState;
 import org.sequoianotch.model.ServiceName;
 import org.sequoianotch.policy.admission.AdmissionControl;
+import org.sequoianotch.template.ServiceRule;
 
 /**
  * The instance on this node's host, as its backend server announced it.
@@ -16,6 +17,7 @@
  * @param state the announced state; not null
  * @param leaseUntilMs end of the lease on the monotonic clock, in milliseconds
  * @param startedAtMs wall-clock time of the first announcement
+ * @param rule the limits that the admission was made from; not null
  * @param admission admission of calls; not null
  * @param client connections to the backend server; not null
  */
@@ -26,9 +28,14 @@
         BackendState state,
         double leaseUntilMs,
         long startedAtMs,
+        ServiceRule rule,
         AdmissionControl admission,
         BackendClient client) {
     LocalInstance withLease(BackendState newState, double newLeaseUntilMs) {
-        return new LocalInstance(service, port, slots, newState, newLeaseUntilMs, startedAtMs, admission, client);
+        return new LocalInstance(service, port, slots, newState, newLeaseUntilMs, startedAtMs, rule, admission, client);
+    }
+
+    LocalInstance withAdmission(ServiceRule newRule, AdmissionControl newAdmission) {
+        return new LocalInstance(service, port, slots, state, leaseUntilMs, startedAtMs, newRule, newAdmission, client);
     }
 }
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/LocalInstances.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/LocalInstances.java
@@ -19,7 +19,6 @@
 import org.sequoianotch.model.LoadReport;
 import org.sequoianotch.model.ServiceName;
 import org.sequoianotch.policy.PolicyMode;
-import org.sequoianotch.policy.admission.AdmissionControl;
 import org.sequoianotch.template.ServiceRule;
 import org.sequoianotch.template.TemplateSet;
 import org.sequoianotch.time.Clock;
@@ -113,6 +112,7 @@
     private LocalInstance create(Announcement announcement, double leaseUntilMs) {
         BackendClient client = new BackendClient(
                 new InetSocketAddress(backendAddress, announcement.port()), eventLoops, CONNECT_TIMEOUT_MS, clock);
+        ServiceRule rule = ruleOf(announcement.service());
         return new LocalInstance(
                 announcement.service(),
                 announcement.port(),
@@ -120,32 +120,30 @@
                 announcement.state(),
                 leaseUntilMs,
                 clock.nowMs(),
-                newAdmission(announcement.service(), announcement.slots()),
+                rule,
+                mode.newAdmission(rule, announcement.slots(), clock),
                 client);
     }
 
-    private AdmissionControl newAdmission(ServiceName service, int slots) {
-        ServiceRule rule = templates
+    private ServiceRule ruleOf(ServiceName service) {
+        return templates
                 .get()
                 .templateOf(service)
                 .flatMap(template -> template.service(service))
                 .orElseGet(() -> ServiceRule.ofDefaults(service));
-        return mode.newAdmission(rule, slots, clock);
     }
 
     /**
-     * Renews the admission of all instances from the templates in force, after those have changed.
+     * Takes over the limits of the templates in force. An instance whose limits are the same keeps what its admission
+     * has measured.
      */
     public synchronized void applyTemplates() {
-        instances.replaceAll((service, known) -> new LocalInstance(
-                service,
-                known.port(),
-                known.slots(),
-                known.state(),
-                known.leaseUntilMs(),
-                known.startedAtMs(),
-                newAdmission(service, known.slots()),
-                known.client()));
+        instances.replaceAll((service, known) -> {
+            ServiceRule rule = ruleOf(service);
+            return rule.equals(known.rule())
+                    ? known
+                    : known.withAdmission(rule, mode.newAdmission(rule, known.slots(), clock));
+        });
     }
 
     /** Removes instances whose lease has ended. To be called regularly. */
--- a/sequoianotch-policy/src/main/java/org/sequoianotch/policy/retry/ProtectiveRetryPolicy.java
+++ b/sequoianotch-policy/src/main/java/org/sequoianotch/policy/retry/ProtectiveRetryPolicy.java
@@ -46,7 +46,8 @@
     /** Tells whether another attempt, sent at once to another instance, may end differently. */
     private static boolean helps(ErrorKind kind) {
         return switch (kind) {
-            case OVERLOADED, DRAINING, CONNECTION_LOST, BACKEND_CUT_ANSWER, INTERNAL -> true;
+                // An attempt ends with NO_INSTANCE when its host cannot be reached; another host may be.
+            case OVERLOADED, DRAINING, NO_INSTANCE, CONNECTION_LOST, BACKEND_CUT_ANSWER, INTERNAL -> true;
             case BAD_REQUEST,
                     UNKNOWN_SERVICE,
                     KEY_REQUIRED,
@@ -54,7 +55,6 @@
                     KEY_IN_PROGRESS,
                     KEY_IN_DOUBT,
                     LEDGER_UNREACHABLE,
-                    NO_INSTANCE,
                     RETRIES_EXHAUSTED,
                     DEADLINE_BEFORE_RUN,
                     DEADLINE_IN_DOUBT,
--- a/sequoianotch-proof/src/main/java/org/sequoianotch/proof/load/CallOutcome.java
+++ b/sequoianotch-proof/src/main/java/org/sequoianotch/proof/load/CallOutcome.java
@@ -10,9 +10,10 @@
  * @param status the HTTP status; zero if no answer came
  * @param outcome value of the {@code Sequoianotch-Outcome} header; not null, may be empty
  * @param requestId value of the {@code Sequoianotch-Request-Id} header; not null, may be empty
+ * @param body the first part of the answer's body as text; not null, may be empty
  * @param latencyMs time from the scheduled start to the end of the answer, in milliseconds
  */
-public record CallOutcome(int status, String outcome, String requestId, double latencyMs) {
+public record CallOutcome(int status, String outcome, String requestId, String body, double latencyMs) {
     private static final int OK = 200;
     private static final int MULTIPLE_CHOICES = 300;
 
@@ -20,6 +21,7 @@
     public CallOutcome {
         Objects.requireNonNull(outcome, "outcome");
         Objects.requireNonNull(requestId, "requestId");
+        Objects.requireNonNull(body, "body");
     }
 
     /**
--- a/sequoianotch-proof/src/main/java/org/sequoianotch/proof/load/Caller.java
+++ b/sequoianotch-proof/src/main/java/org/sequoianotch/proof/load/Caller.java
@@ -2,7 +2,9 @@
 
 import io.netty.channel.EventLoopGroup;
 import io.vavr.control.Either;
+import java.io.ByteArrayOutputStream;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import org.sequoianotch.daemon.http.BackendClient;
 import org.sequoianotch.daemon.http.BackendConnection;
@@ -19,6 +21,7 @@
  */
 public final class Caller implements AutoCloseable {
     private static final int CONNECT_TIMEOUT_MS = 2_000;
+    private static final int MAX_BODY_BYTES = 4_096;
 
     private final Clock clock = SystemClock.INSTANCE;
     private final BackendClient client;
@@ -60,6 +63,7 @@
             connection.close();
             return nothing(scheduledAtMs);
         }
+        ByteArrayOutputStream body = new ByteArrayOutputStream();
         while (true) {
             Either<Failure, Optional<byte[]>> part = connection.readAnswerBody(leftMs(endAtMs));
             if (part.isLeft()) {
@@ -69,6 +73,9 @@
             if (part.get().isEmpty()) {
                 break;
             }
+            if (body.size() < MAX_BODY_BYTES) {
+                body.writeBytes(part.get().get());
+            }
         }
         connection.finish();
         return new CallOutcome(
@@ -76,6 +83,7 @@
                 HeaderFields.first(head.get().headers(), "sequoianotch-outcome").orElse(""),
                 HeaderFields.first(head.get().headers(), "sequoianotch-request-id")
                         .orElse(""),
+                body.toString(StandardCharsets.UTF_8),
                 clock.monotonicMs() - scheduledAtMs);
     }
 
@@ -84,7 +92,7 @@
     }
 
     private CallOutcome nothing(double scheduledAtMs) {
-        return new CallOutcome(0, "", "", clock.monotonicMs() - scheduledAtMs);
+        return new CallOutcome(0, "", "", "", clock.monotonicMs() - scheduledAtMs);
     }
 
     @Override
--- /dev/null
+++ b/sequoianotch-proof/src/main/java/org/sequoianotch/proof/scenario/Checks.java
@@ -0,0 +1,107 @@
+package org.sequoianotch.proof.scenario;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
+import org.sequoianotch.proof.standin.Execution;
+import org.sequoianotch.proof.standin.StandIn;
+
+/** Evaluates the checks of a step. One thread uses it. */
+final class Checks {
+    private static final double PERCENT = 100.0;
+
+    private final History history;
+    private final Deployment deployment;
+    private final Map<String, Integer> exitCodes;
+    private final double elapsedMs;
+
+    Checks(History history, Deployment deployment, Map<String, Integer> exitCodes, double elapsedMs) {
+        this.history = history;
+        this.deployment = deployment;
+        this.exitCodes = exitCodes;
+        this.elapsedMs = elapsedMs;
+    }
+
+    /** Evaluates a check such as {@code status = 200} or {@code runs specdesk /doors <= 3}. */
+    Optional<String> evaluate(String step, String check) {
+        String[] words = check.split("\\s+");
+        String comparison = words[words.length - 2];
+        String wanted = words[words.length - 1];
+        return switch (words[0]) {
+            case "status" -> eachCall(
+                    step,
+                    check,
+                    wanted,
+                    entry -> Integer.toString(entry.outcome().status()));
+            case "outcome" -> eachCall(
+                    step, check, wanted, entry -> entry.outcome().outcome());
+            case "kind" -> eachCall(
+                    step, check, wanted, entry -> kindOf(entry.outcome().body()));
+            case "runs" -> compare(step, check, runs(words[1], words[2]), comparison, wanted);
+            case "good" -> compare(step, check, goodPercent(words[1]), comparison, wanted);
+            case "told" -> compare(step, check, told(words[1], words[2]), comparison, wanted);
+            case "exit" -> compare(step, check, exitCodes.getOrDefault(words[1], -1), comparison, wanted);
+            case "elapsed" -> compare(step, check, elapsedMs, comparison, wanted);
+            case "alive" -> compare(step, check, deployment.node(words[1]).isAlive() ? 1 : 0, comparison, wanted);
+            default -> throw new IllegalArgumentException("No such check: " + check);
+        };
+    }
+
+    private Optional<String> eachCall(String step, String check, String wanted, Function<History.Entry, String> query) {
+        List<History.Entry> entries = history.entries(step);
+        if (entries.isEmpty()) {
+            return Optional.of("Step " + step + ": \"" + check + "\", but the step sent no call.");
+        }
+        return entries.stream()
+                .filter(entry -> !query.apply(entry).equals(wanted))
+                .findFirst()
+                .map(entry -> "Step " + step + ": \"" + check + "\" does not hold for " + entry);
+    }
+
+    private static String kindOf(String body) {
+        String marker = "\"kind\":\"";
+        int start = body.indexOf(marker);
+        return start < 0 ? "" : body.substring(start + marker.length(), body.indexOf('"', start + marker.length()));
+    }
+
+    private long runs(String service, String pathPrefix) {
+        long runs = 0;
+        for (StandIn standIn : deployment.standIns()) {
+            if (standIn.options().service().name().equals(service)) {
+                runs += standIn.log().executions().stream()
+                        .map(Execution::path)
+                        .filter(path -> path.startsWith(pathPrefix) && !path.equals("/ready"))
+                        .count();
+            }
+        }
+        return runs;
+    }
+
+    private double goodPercent(String load) {
+        List<History.Entry> entries = history.entries(load);
+        long good = entries.stream().filter(entry -> entry.outcome().isGood()).count();
+        return entries.isEmpty() ? 0 : good * PERCENT / entries.size();
+    }
+
+    private long told(String load, String outcome) {
+        return history.entries(load).stream()
+                .filter(entry -> entry.outcome().outcome().equals(outcome))
+                .count();
+    }
+
+    private static Optional<String> compare(
+            String step, String check, double actual, String comparison, String wantedText) {
+        double wanted = Double.parseDouble(wantedText);
+        boolean holds =
+                switch (comparison) {
+                    case "=" -> actual == wanted;
+                    case "<=" -> actual <= wanted;
+                    case ">=" -> actual >= wanted;
+                    default -> throw new IllegalArgumentException("No such comparison: " + check);
+                };
+        return holds
+                ? Optional.empty()
+                : Optional.of("Step " + step + ": \"" + check + "\", but it is " + actual + ".");
+    }
+}
--- /dev/null
+++ b/sequoianotch-proof/src/main/java/org/sequoianotch/proof/scenario/Deployment.java
@@ -0,0 +1,299 @@
+package org.sequoianotch.proof.scenario;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Collectors;
+import org.sequoianotch.model.ServiceName;
+import org.sequoianotch.proof.load.Caller;
+import org.sequoianotch.proof.standin.StandIn;
+import org.sequoianotch.proof.standin.StandInOptions;
+import org.sequoianotch.proof.standin.SubCall;
+import org.sequoianotch.settings.ValueKind;
+
+/**
+ * The hosts of a running scenario: node processes, and stand-ins and callers in the process of the runner.
+ *
+ * <p>Each host has a loopback address of its own, so that scenarios can run beside each other. One thread uses it.
+ */
+public final class Deployment implements AutoCloseable {
+    private static final int CALLER_PORT = 18_080;
+    private static final int BACKEND_PORT = 18_081;
+    private static final int PEER_PORT = 18_082;
+    private static final int ADMIN_PORT = 18_083;
+    private static final int EVENT_LOOP_THREADS = 2;
+    private static final int ADDRESSES_PER_BLOCK = 250;
+    /** Number of the next deployment, mixed with the process id so that two runners do not share addresses. */
+    private static final AtomicInteger NEXT = new AtomicInteger();
+
+    private final Scenario scenario;
+    private final String mode;
+    private final Path folder;
+    private final String addressPrefix;
+    private final EventLoopGroup eventLoops = new NioEventLoopGroup(EVENT_LOOP_THREADS);
+    private final Map<String, NodeProcess> nodes = new LinkedHashMap<>();
+    private final Map<String, StandIn> standIns = new LinkedHashMap<>();
+    /** All stand-ins that ever ran, because the record of one that crashed still counts. */
+    private final List<StandIn> allStandIns = new ArrayList<>();
+
+    private final Map<String, Caller> callers = new LinkedHashMap<>();
+    private final List<Path> templates;
+
+    /**
+     * Creates a deployment that is not started.
+     *
+     * @param scenario the scenario; not null
+     * @param mode protective or naive; not null
+     * @param folder folder for settings, data and logs; not null
+     * @param templates template files of all nodes; not null
+     */
+    public Deployment(Scenario scenario, String mode, Path folder, List<Path> templates) {
+        this.scenario = scenario;
+        this.mode = mode;
+        this.folder = folder;
+        this.templates = List.copyOf(templates);
+        int block = (int) (ProcessHandle.current().pid() % ADDRESSES_PER_BLOCK);
+        this.addressPrefix = "127." + (1 + block) + "." + (NEXT.incrementAndGet() % ADDRESSES_PER_BLOCK) + ".";
+    }
+
+    /**
+     * Starts all nodes and stand-ins.
+     *
+     * @throws IOException if a process cannot be started
+     * @throws InterruptedException if the thread is interrupted
+     */
+    public void start() throws IOException, InterruptedException {
+        for (Scenario.HostPlan host : scenario.hosts()) {
+            Path settings = folder.resolve(host.name() + ".ini");
+            Files.writeString(settings, settingsOf(host));
+            NodeProcess node = new NodeProcess(host.name(), settings, folder.resolve(host.name() + ".log"));
+            nodes.put(host.name(), node);
+            node.start();
+            callers.put(host.name(), new Caller(address(host.name(), CALLER_PORT), eventLoops));
+        }
+        for (Scenario.HostPlan host : scenario.hosts()) {
+            startStandIn(host.name());
+        }
+    }
+
+    /**
+     * Starts the stand-in of a host, if the scenario gives it one.
+     *
+     * @param hostName the host; not null
+     * @throws InterruptedException if the thread is interrupted
+     */
+    public void startStandIn(String hostName) throws InterruptedException {
+        Scenario.HostPlan host = plan(hostName);
+        if (host.service().isEmpty()) {
+            return;
+        }
+        List<SubCall> calls =
+                ValueKind.items(host.calls()).stream().map(SubCall::parse).toList();
+        StandInOptions options = new StandInOptions(
+                ServiceName.of(host.service()),
+                address(hostName, 0),
+                address(hostName, BACKEND_PORT),
+                host.slots(),
+                host.workMs(),
+                calls);
+        StandIn standIn = new StandIn(
+                options, eventLoops, () -> ThreadLocalRandom.current().nextLong());
+        standIns.put(hostName, standIn);
+        allStandIns.add(standIn);
+    }
+
+    private String settingsOf(Scenario.HostPlan host) {
+        String ledgerHosts = scenario.hosts().stream()
+                .filter(Scenario.HostPlan::ledger)
+                .map(plan -> plan.dataCentre() + "=" + addressText(plan.name(), PEER_PORT))
+                .collect(Collectors.joining(", "));
+        String dataCentres = scenario.hosts().stream()
+                .map(Scenario.HostPlan::dataCentre)
+                .distinct()
+                .collect(Collectors.joining(", "));
+        String seeds = scenario.hosts().stream()
+                .map(plan -> addressText(plan.name(), PEER_PORT))
+                .limit(2)
+                .collect(Collectors.joining(", "));
+        String templateFiles = templates.stream().map(Path::toString).collect(Collectors.joining(", "));
+        StringBuilder text = new StringBuilder();
+        section(
+                text,
+                "node",
+                "host = " + host.name(),
+                "data_centre = " + host.dataCentre(),
+                "region = " + host.region(),
+                "mode = " + mode);
+        section(text, "deployment", "key = scenario-deployment-key", "data_centres = " + dataCentres);
+        section(text, "caller", "listen = " + addressText(host.name(), CALLER_PORT));
+        section(
+                text,
+                "backend",
+                "listen = " + addressText(host.name(), BACKEND_PORT),
+                "host_address = " + addressPrefix + number(host.name()),
+                "lease_ms = 2000");
+        section(text, "peer", "listen = " + addressText(host.name(), PEER_PORT));
+        section(text, "admin", "listen = " + addressText(host.name(), ADMIN_PORT));
+        section(text, "membership", "seeds = " + seeds);
+        section(
+                text,
+                "ledger",
+                "hosts = " + ledgerHosts,
+                "data_folder = " + (host.ledger() ? dataFolder(host.name()) : ""));
+        section(text, "templates", "files = " + templateFiles);
+        scenario.settings().forEach(setting -> override(text, setting));
+        return text.toString();
+    }
+
+    private static void section(StringBuilder text, String name, String... lines) {
+        text.append('[').append(name).append("]\n");
+        for (String line : lines) {
+            text.append(line).append('\n');
+        }
+    }
+
+    private static void override(StringBuilder text, String setting) {
+        int dot = setting.indexOf('.');
+        String header = "[" + setting.substring(0, dot) + "]\n";
+        String line = setting.substring(dot + 1) + "\n";
+        int at = text.indexOf(header);
+        if (at < 0) {
+            text.append(header).append(line);
+        } else {
+            text.insert(at + header.length(), line);
+        }
+    }
+
+    private Path dataFolder(String host) {
+        return folder.resolve(host + "-ledger");
+    }
+
+    /**
+     * Deletes the ledger's data folder of a host, as the loss of its disk would.
+     *
+     * @param host the host; not null
+     */
+    public void loseDisk(String host) {
+        try (var files = Files.walk(dataFolder(host))) {
+            files.sorted(Comparator.reverseOrder())
+                    .forEach(path -> path.toFile().delete());
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private int number(String host) {
+        for (int i = 0; i < scenario.hosts().size(); i++) {
+            if (scenario.hosts().get(i).name().equals(host)) {
+                return i + 1;
+            }
+        }
+        throw new IllegalArgumentException("The scenario has no host " + host);
+    }
+
+    private Scenario.HostPlan plan(String host) {
+        return scenario.hosts().get(number(host) - 1);
+    }
+
+    private String addressText(String host, int port) {
+        return addressPrefix + number(host) + ":" + port;
+    }
+
+    private InetSocketAddress address(String host, int port) {
+        return ValueKind.parseAddress(addressText(host, port)).orElseThrow();
+    }
+
+    /**
+     * Returns the node of a host.
+     *
+     * @param host the host; not null
+     * @return the node, never null
+     */
+    public NodeProcess node(String host) {
+        number(host);
+        return nodes.get(host);
+    }
+
+    /**
+     * Returns the stand-in of a host.
+     *
+     * @param host the host; not null
+     * @return the stand-in, never null
+     * @throws IllegalArgumentException if the host has none
+     */
+    public StandIn standIn(String host) {
+        StandIn standIn = standIns.get(host);
+        if (standIn == null) {
+            throw new IllegalArgumentException("Host " + host + " has no stand-in");
+        }
+        return standIn;
+    }
+
+    /**
+     * Returns all stand-ins that ever ran.
+     *
+     * @return the stand-ins, never null
+     */
+    public List<StandIn> standIns() {
+        return List.copyOf(allStandIns);
+    }
+
+    /**
+     * Returns the caller that calls a host's node.
+     *
+     * @param host the host; not null
+     * @return the caller, never null
+     */
+    public Caller caller(String host) {
+        number(host);
+        return callers.get(host);
+    }
+
+    /**
+     * Returns the address of a host's caller listener.
+     *
+     * @param host the host; not null
+     * @return the address, never null
+     */
+    public InetSocketAddress callerAddress(String host) {
+        return address(host, CALLER_PORT);
+    }
+
+    /**
+     * Returns the address of a host's peer listener.
+     *
+     * @param host the host; not null
+     * @return the address, never null
+     */
+    public InetSocketAddress peerAddress(String host) {
+        return address(host, PEER_PORT);
+    }
+
+    /**
+     * Returns the ends of all logs for a failure message.
+     *
+     * @return the last lines of each node, never null
+     */
+    public String logTails() {
+        return nodes.values().stream().map(NodeProcess::logTail).collect(Collectors.joining("\n"));
+    }
+
+    @Override
+    public void close() {
+        callers.values().forEach(Caller::close);
+        allStandIns.forEach(StandIn::close);
+        nodes.values().stream().filter(NodeProcess::isAlive).forEach(NodeProcess::kill);
+        eventLoops.shutdownGracefully();
+    }
+}
--- /dev/null
+++ b/sequoianotch-proof/src/main/java/org/sequoianotch/proof/scenario/History.java
@@ -0,0 +1,60 @@
+package org.sequoianotch.proof.scenario;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import org.jspecify.annotations.Nullable;
+import org.sequoianotch.proof.load.CallOutcome;
+
+/** What callers sent and were told during a scenario. This class is thread-safe. */
+public final class History {
+    private final List<Entry> entries = new ArrayList<>();
+
+    /** Creates an empty history. */
+    public History() {}
+
+    /**
+     * A call and what its caller was told.
+     *
+     * @param step name of the step or load that sent it; not null
+     * @param method the HTTP method; not null
+     * @param path path and query; not null
+     * @param key the idempotency key, or null if it had none
+     * @param outcome what the caller was told; not null
+     */
+    public record Entry(String step, String method, String path, @Nullable String key, CallOutcome outcome) {
+        /** Checks the components. */
+        public Entry {
+            Objects.requireNonNull(step, "step");
+            Objects.requireNonNull(outcome, "outcome");
+        }
+    }
+
+    /**
+     * Adds a call.
+     *
+     * @param entry the call; not null
+     */
+    public synchronized void add(Entry entry) {
+        entries.add(entry);
+    }
+
+    /**
+     * Returns all calls.
+     *
+     * @return a copy, never null
+     */
+    public synchronized List<Entry> entries() {
+        return List.copyOf(entries);
+    }
+
+    /**
+     * Returns the calls of one step or load.
+     *
+     * @param step its name; not null
+     * @return a copy, never null
+     */
+    public synchronized List<Entry> entries(String step) {
+        return entries.stream().filter(entry -> entry.step().equals(step)).toList();
+    }
+}
--- /dev/null
+++ b/sequoianotch-proof/src/main/java/org/sequoianotch/proof/scenario/Invariants.java
@@ -0,0 +1,67 @@
+package org.sequoianotch.proof.scenario;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.sequoianotch.proof.standin.Execution;
+import org.sequoianotch.proof.standin.StandIn;
+
+/**
+ * What must hold in every scenario, checked by comparing what callers were told with what the stand-ins ran. This class
+ * is stateless.
+ */
+public final class Invariants {
+    private Invariants() {}
+
+    /**
+     * Checks a finished scenario.
+     *
+     * @param history what callers were told; not null
+     * @param standIns the stand-ins that ran; not null
+     * @return one sentence for each violation, never null
+     */
+    public static List<String> check(History history, List<StandIn> standIns) {
+        List<String> violations = new ArrayList<>();
+        Set<String> ranRequests = new HashSet<>();
+        Map<String, Integer> runsOfKey = new HashMap<>();
+        // A backend server passes the key on to safe sub-calls, which may repeat; only the callers' own calls count.
+        Set<String> callersPlaces = new HashSet<>();
+        history.entries().forEach(entry -> callersPlaces.add(entry.path() + " key " + entry.key()));
+        for (StandIn standIn : standIns) {
+            for (Execution execution : standIn.log().executions()) {
+                ranRequests.add(execution.requestId());
+                String place = "/" + standIn.options().service() + execution.path() + " key " + execution.key();
+                if (execution.key() != null && callersPlaces.contains(place)) {
+                    runsOfKey.merge(place, 1, Integer::sum);
+                }
+            }
+        }
+        runsOfKey.forEach((place, runs) -> {
+            if (runs > 1) {
+                violations.add("R5: " + place + " ran " + runs + " times.");
+            }
+        });
+        history.entries().forEach(entry -> checkEntry(entry, ranRequests, violations));
+        return violations;
+    }
+
+    private static void checkEntry(History.Entry entry, Set<String> ranRequests, List<String> violations) {
+        String requestId = entry.outcome().requestId();
+        String call = entry.method() + " " + entry.path() + " (request " + requestId + ")";
+        if (entry.outcome().outcome().equals("not-run") && ranRequests.contains(requestId)) {
+            violations.add("R4: the caller of " + call + " was told not-run, but it ran.");
+        }
+        boolean ownAnswer = entry.outcome().body().contains("request " + requestId);
+        if (entry.outcome().isGood() && entry.key() == null && !ownAnswer && !requestId.isEmpty()) {
+            violations.add("R3: the caller of " + call + " received another answer: "
+                    + entry.outcome().body());
+        }
+        if (entry.outcome().status() != 0 && entry.outcome().outcome().isEmpty()) {
+            violations.add("The caller of " + call + " was told no outcome with status "
+                    + entry.outcome().status() + ".");
+        }
+    }
+}
--- /dev/null
+++ b/sequoianotch-proof/src/main/java/org/sequoianotch/proof/scenario/RawBytes.java
@@ -0,0 +1,57 @@
+package org.sequoianotch.proof.scenario;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.net.SocketException;
+import java.nio.charset.StandardCharsets;
+import java.util.Random;
+
+/** Sends bytes that are not valid in their protocol. This class is stateless. */
+final class RawBytes {
+    private static final int TIMEOUT_MS = 5_000;
+    private static final int GARBAGE_BYTES = 4_096;
+    private static final long SEED = 20261204;
+
+    private RawBytes() {}
+
+    /** Sends one kind of garbage to a host and waits until the node has closed the connection. */
+    static void send(Deployment deployment, String host, String kind) throws IOException {
+        switch (kind) {
+            case "random-to-peer" -> sendTo(deployment.peerAddress(host), random());
+            case "huge-frame-to-peer" -> sendTo(
+                    deployment.peerAddress(host), new byte[] {0x7f, (byte) 0xff, (byte) 0xff, (byte) 0xff, 0});
+            case "random-to-caller" -> sendTo(deployment.callerAddress(host), random());
+            case "malformed-http" -> sendTo(deployment.callerAddress(host), text("GET\r\n\r\n"));
+            case "huge-header" -> sendTo(
+                    deployment.callerAddress(host),
+                    text("GET /specdesk/ HTTP/1.1\r\nX: " + "x".repeat(100_000) + "\r\n\r\n"));
+            case "cut-body" -> sendTo(
+                    deployment.callerAddress(host),
+                    text("PUT /sitephotos/photos/1 HTTP/1.1\r\nContent-Length: 1000\r\n\r\nhalf"));
+            default -> throw new IllegalArgumentException("No such garbage: " + kind);
+        }
+    }
+
+    private static byte[] text(String text) {
+        return text.getBytes(StandardCharsets.ISO_8859_1);
+    }
+
+    private static byte[] random() {
+        byte[] bytes = new byte[GARBAGE_BYTES];
+        new Random(SEED).nextBytes(bytes);
+        return bytes;
+    }
+
+    private static void sendTo(InetSocketAddress address, byte[] bytes) throws IOException {
+        try (Socket socket = new Socket()) {
+            socket.connect(address, TIMEOUT_MS);
+            socket.setSoTimeout(TIMEOUT_MS);
+            socket.getOutputStream().write(bytes);
+            socket.shutdownOutput();
+            socket.getInputStream().readAllBytes();
+        } catch (SocketException e) {
+            // The node may reset the connection before it has read everything.
+        }
+    }
+}
--- /dev/null
+++ b/sequoianotch-proof/src/main/java/org/sequoianotch/proof/scenario/ScenarioParser.java
@@ -0,0 +1,82 @@
+package org.sequoianotch.proof.scenario;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.sequoianotch.settings.IniFile;
+
+/**
+ * Reads scenarios. {@code docs/scenarios.md} describes the language. This class is stateless.
+ */
+public final class ScenarioParser {
+    private ScenarioParser() {}
+
+    /**
+     * Reads a scenario file.
+     *
+     * @param file the file; not null
+     * @return the scenario, never null
+     * @throws IllegalArgumentException if the file is not a scenario
+     */
+    public static Scenario read(Path file) {
+        IniFile ini = IniFile.read(file).getOrElseThrow(problems -> new IllegalArgumentException(problems.toString()));
+        Map<String, String> head = ini.sections().getOrDefault("scenario", Map.of());
+        List<Scenario.HostPlan> hosts = new ArrayList<>();
+        List<Scenario.Step> steps = new ArrayList<>();
+        ini.sections().forEach((section, values) -> {
+            String[] words = section.split("\\s+", 2);
+            switch (words[0]) {
+                case "scenario", "settings" -> {}
+                case "host" -> hosts.add(host(words[1], values));
+                case "step" -> steps.add(step(words[1], values));
+                default -> throw new IllegalArgumentException(file + ": no such section [" + section + "]");
+            }
+        });
+        return new Scenario(
+                required(file, head, "name"),
+                required(file, head, "requirement"),
+                required(file, head, "guards"),
+                head.getOrDefault("naive_breaks", "false").equals("true"),
+                hosts,
+                settings(ini),
+                steps);
+    }
+
+    private static List<String> settings(IniFile ini) {
+        List<String> settings = new ArrayList<>();
+        ini.sections().getOrDefault("settings", Map.of()).forEach((key, value) -> settings.add(key + " = " + value));
+        return settings;
+    }
+
+    private static Scenario.HostPlan host(String name, Map<String, String> values) {
+        return new Scenario.HostPlan(
+                name,
+                values.getOrDefault("data_centre", "austin-1"),
+                values.getOrDefault("region", "texas"),
+                values.getOrDefault("service", ""),
+                Integer.parseInt(values.getOrDefault("slots", "50")),
+                Double.parseDouble(values.getOrDefault("work_ms", "2")),
+                values.getOrDefault("calls", ""),
+                values.getOrDefault("ledger", "false").equals("true"));
+    }
+
+    private static Scenario.Step step(String name, Map<String, String> values) {
+        List<String> checks = new ArrayList<>();
+        for (String check : values.getOrDefault("expect", "").split(",")) {
+            if (!check.isBlank()) {
+                checks.add(check.trim());
+            }
+        }
+        return new Scenario.Step(
+                name, List.of(values.getOrDefault("do", "nothing").trim().split("\\s+")), checks);
+    }
+
+    private static String required(Path file, Map<String, String> values, String key) {
+        String value = values.get(key);
+        if (value == null) {
+            throw new IllegalArgumentException(file + ": [scenario] " + key + " is missing");
+        }
+        return value;
+    }
+}
--- /dev/null
+++ b/sequoianotch-proof/src/main/java/org/sequoianotch/proof/scenario/ScenarioRunner.java
@@ -0,0 +1,221 @@
+package org.sequoianotch.proof.scenario;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
+import org.sequoianotch.model.BackendState;
+import org.sequoianotch.proof.load.CallOutcome;
+import org.sequoianotch.proof.load.CallTemplate;
+import org.sequoianotch.proof.load.Caller;
+import org.sequoianotch.proof.load.OpenLoop;
+import org.sequoianotch.proof.standin.Behaviour;
+import org.sequoianotch.proof.standin.StandIn;
+
+/**
+ * Runs a scenario: starts its deployment, takes its steps, and evaluates checks and invariants.
+ *
+ * <p>A runner runs one scenario once, on one thread.
+ */
+public final class ScenarioRunner {
+    private static final long READY_TIMEOUT_MS = 30_000;
+    private static final long READY_POLL_MS = 50;
+    private static final int DEFAULT_TIMEOUT_MS = 10_000;
+    /** A new ledger refuses keys minted before it was formed, with a margin of 1 s for clocks that differ. */
+    private static final long LEDGER_SETTLE_MS = 1_500;
+
+    private final Scenario scenario;
+    private final Deployment deployment;
+    private final History history = new History();
+    private final Map<String, Thread> loads = new HashMap<>();
+    private final Map<String, String> mintedKeys = new ConcurrentHashMap<>();
+    private final Map<String, Integer> exitCodes = new HashMap<>();
+    private final List<String> violations = new ArrayList<>();
+
+    /**
+     * Creates a runner.
+     *
+     * @param scenario the scenario; not null
+     * @param mode protective or naive; not null
+     * @param folder empty folder for settings, data and logs; not null
+     * @param templates template files of all nodes; not null
+     */
+    public ScenarioRunner(Scenario scenario, String mode, Path folder, List<Path> templates) {
+        this.scenario = scenario;
+        this.deployment = new Deployment(scenario, mode, folder, templates);
+    }
+
+    /**
+     * Runs the scenario.
+     *
+     * @return one sentence for each check or invariant that does not hold; empty if all hold
+     * @throws IOException if a process cannot be started
+     * @throws InterruptedException if the thread is interrupted
+     */
+    public List<String> run() throws IOException, InterruptedException {
+        try (deployment) {
+            deployment.start();
+            awaitReady();
+            deployment.standIns().forEach(standIn -> standIn.log().clear());
+            for (Scenario.Step step : scenario.steps()) {
+                long startedNs = System.nanoTime();
+                act(step);
+                double elapsedMs = (System.nanoTime() - startedNs) / 1_000_000.0;
+                Checks checks = new Checks(history, deployment, exitCodes, elapsedMs);
+                step.checks()
+                        .forEach(check -> checks.evaluate(step.name(), check).ifPresent(violations::add));
+            }
+            for (Thread load : loads.values()) {
+                load.join();
+            }
+            violations.addAll(Invariants.check(history, deployment.standIns()));
+            return violations;
+        }
+    }
+
+    /**
+     * Returns what a failure message needs besides the violations.
+     *
+     * @return the last log lines of each node, never null
+     */
+    public String logTails() {
+        return deployment.logTails();
+    }
+
+    /** Waits until each node reaches each service, because nodes and backend servers need a moment to meet. */
+    private void awaitReady() throws InterruptedException {
+        CallTemplate[] probes = scenario.hosts().stream()
+                .map(Scenario.HostPlan::service)
+                .filter(service -> !service.isEmpty())
+                .distinct()
+                .map(service -> new CallTemplate("ready", "GET", "/" + service + "/ready", new byte[0], false))
+                .toArray(CallTemplate[]::new);
+        long endNs = System.nanoTime() + READY_TIMEOUT_MS * 1_000_000;
+        for (Scenario.HostPlan host : scenario.hosts()) {
+            Caller caller = deployment.caller(host.name());
+            for (CallTemplate probe : probes) {
+                while (!caller.send(probe, "", System.nanoTime() / 1e6, DEFAULT_TIMEOUT_MS)
+                        .isGood()) {
+                    if (System.nanoTime() > endNs) {
+                        throw new IllegalStateException(
+                                "Host " + host.name() + " does not reach " + probe.path() + "\n" + logTails());
+                    }
+                    Thread.sleep(READY_POLL_MS);
+                }
+            }
+        }
+        if (scenario.hosts().stream().anyMatch(Scenario.HostPlan::ledger)) {
+            Thread.sleep(LEDGER_SETTLE_MS);
+        }
+    }
+
+    private void act(Scenario.Step step) throws IOException, InterruptedException {
+        List<String> words = step.action();
+        String object = words.size() > 1 ? words.get(1) : "";
+        switch (words.get(0)) {
+            case "call" -> call(step);
+            case "load" -> load(step);
+            case "join" -> loads.get(object).join();
+            case "sleep" -> Thread.sleep(Long.parseLong(object));
+            case "mint" -> mintedKeys.put(object, newKey(hostOf(step)));
+            case "kill" -> deployment.node(object).kill();
+            case "start" -> deployment.node(object).start();
+            case "terminate" -> deployment.node(object).terminate();
+            case "await-exit" -> exitCodes.put(object, deployment.node(object).awaitExit());
+            case "freeze" -> deployment.node(object).signal("STOP");
+            case "unfreeze" -> deployment.node(object).signal("CONT");
+            case "crash-backend" -> deployment.standIn(object).close();
+            case "start-backend" -> deployment.startStandIn(object);
+            case "drain-backend" -> deployment.standIn(object).announce(BackendState.DRAINING);
+            case "behave" -> behave(step, deployment.standIn(object));
+            case "lose-disk" -> deployment.loseDisk(object);
+            case "await-ready" -> awaitReady();
+            case "send-garbage" -> RawBytes.send(deployment, object, step.option("as", ""));
+            case "nothing" -> {}
+            default -> throw new IllegalArgumentException(scenario.name() + ": no such action " + words);
+        }
+    }
+
+    private static void behave(Scenario.Step step, StandIn standIn) {
+        Behaviour behaviour = Behaviour.NORMAL
+                .withSlowFactor(Double.parseDouble(step.option("slow", "1")))
+                .withErrorFraction(Double.parseDouble(step.option("errors", "0")))
+                .withCutAnswers(step.action().contains("cut"))
+                .withHang(step.action().contains("hang"));
+        standIn.setBehaviour(behaviour);
+    }
+
+    private String newKey(String host) throws InterruptedException {
+        CallTemplate mint = new CallTemplate("mint", "POST", "/v1/keys", new byte[0], false);
+        return deployment
+                .caller(host)
+                .send(mint, "", System.nanoTime() / 1e6, DEFAULT_TIMEOUT_MS)
+                .body()
+                .trim();
+    }
+
+    private String hostOf(Scenario.Step step) {
+        String[] hosts = step.option("at", scenario.hosts().get(0).name()).split("/");
+        return hosts[ThreadLocalRandom.current().nextInt(hosts.length)];
+    }
+
+    private CallTemplate template(Scenario.Step step) {
+        byte[] body = new byte[step.number("body", 0)];
+        return new CallTemplate(
+                step.name(),
+                step.action().get(1),
+                step.action().get(2),
+                body,
+                step.action().contains("key") || step.action().contains("keys"));
+    }
+
+    /** Sends one call, or several at once with {@code times}. */
+    private void call(Scenario.Step step) throws InterruptedException {
+        CallTemplate template = template(step);
+        String keyName = step.option("key", "");
+        String key = mintedKeys.getOrDefault(keyName, keyName);
+        List<Thread> threads = new ArrayList<>();
+        for (int i = 0; i < step.number("times", 1); i++) {
+            threads.add(Thread.ofVirtual().start(() -> send(step, template, key, System.nanoTime() / 1e6)));
+        }
+        for (Thread thread : threads) {
+            thread.join();
+        }
+    }
+
+    /** Sends calls at a fixed rate in the background; {@code tries} lets each caller repeat a failed call at once. */
+    private void load(Scenario.Step step) {
+        CallTemplate template = template(step);
+        int perSecond = step.number("rate", 10);
+        int durationMs = step.number("for", 1_000);
+        boolean keys = step.action().contains("keys");
+        Thread thread = Thread.ofPlatform().name("load-" + step.name()).start(() -> new OpenLoop()
+                .run(perSecond, durationMs, (index, scheduledAtMs) -> {
+                    String key = keys ? newKey(hostOf(step)) : "";
+                    for (int attempt = 0; attempt < step.number("tries", 1); attempt++) {
+                        if (send(step, template, key, scheduledAtMs)) {
+                            return;
+                        }
+                    }
+                }));
+        loads.put(step.name(), thread);
+    }
+
+    private boolean send(Scenario.Step step, CallTemplate template, String key, double scheduledAtMs) {
+        try {
+            CallOutcome outcome = deployment
+                    .caller(hostOf(step))
+                    .send(template, key, scheduledAtMs, step.number("timeout", DEFAULT_TIMEOUT_MS));
+            history.add(new History.Entry(
+                    step.name(), template.method(), template.path(), template.keyed() ? key : null, outcome));
+            return outcome.isGood();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return false;
+        }
+    }
+}
--- /dev/null
+++ b/sequoianotch-proof/src/test/java/org/sequoianotch/proof/scenario/ScenarioTest.java
@@ -0,0 +1,57 @@
+package org.sequoianotch.proof.scenario;
+
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/**
+ * Runs every scenario with real node processes. Each scenario file says which failure it guards against. The naive
+ * version must break those that are marked so, which shows that their checks can fail.
+ */
+final class ScenarioTest {
+    private static final List<Path> TEMPLATES = List.of(Path.of("..", "examples", "lone-star-bellworks.ini")
+            .toAbsolutePath()
+            .normalize());
+
+    @TempDir
+    Path folder;
+
+    static Stream<Scenario> scenarios() throws IOException {
+        try (Stream<Path> files = Files.list(Path.of("src", "test", "resources", "scenarios"))) {
+            return files.sorted().map(ScenarioParser::read).toList().stream();
+        }
+    }
+
+    static Stream<Scenario> scenariosThatTheNaiveVersionBreaks() throws IOException {
+        return scenarios().filter(Scenario::naiveBreaks);
+    }
+
+    @ParameterizedTest
+    @MethodSource("scenarios")
+    void holds(Scenario scenario) throws IOException, InterruptedException {
+        ScenarioRunner runner = new ScenarioRunner(scenario, "protective", folder, TEMPLATES);
+
+        List<String> violations = runner.run();
+
+        assertWithMessage("%s guards against: %s\n%s", scenario, scenario.guards(), runner.logTails())
+                .that(violations)
+                .isEmpty();
+    }
+
+    @ParameterizedTest
+    @MethodSource("scenariosThatTheNaiveVersionBreaks")
+    void naiveVersionBreaks(Scenario scenario) throws IOException, InterruptedException {
+        List<String> violations = new ScenarioRunner(scenario, "naive", folder, TEMPLATES).run();
+
+        assertWithMessage("The naive version is expected to break %s", scenario)
+                .that(violations)
+                .isNotEmpty();
+    }
+}
