--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/Node.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/Node.java
@@ -11,11 +11,11 @@
 import java.util.random.RandomGenerator;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.sequoianotch.daemon.admin.TemplateChanges;
 import org.sequoianotch.daemon.call.CallPath;
 import org.sequoianotch.daemon.call.HostPlace;
 import org.sequoianotch.daemon.call.LocalInstances;
 import org.sequoianotch.daemon.call.ServicePolicies;
-import org.sequoianotch.daemon.explain.RequestJournal;
 import org.sequoianotch.daemon.http.HttpHandler;
 import org.sequoianotch.daemon.http.HttpListener;
 import org.sequoianotch.daemon.ledger.LedgerHost;
@@ -59,6 +59,7 @@
     private final LocalInstances instances;
     private final CallPath callPath;
     private final LedgerParts ledger;
+    private final HttpHandler adminHandler;
     private final List<HttpListener> listeners = new ArrayList<>();
     private volatile boolean stopped;
 
@@ -69,11 +70,7 @@
         RandomGenerator random = () -> ThreadLocalRandom.current().nextLong();
         LinkCounters linkCounters = new LinkCounters();
         LinkOptions linkOptions = NodeOptions.links(settings, place);
-        RequestJournal journal = new RequestJournal(
-                place.host(),
-                clock,
-                (int) settings.number(NodeSetting.EXPLAIN_MAX_REQUESTS),
-                settings.number(NodeSetting.EXPLAIN_SLOW_MS));
+        OperatorParts operator = new OperatorParts(settings, place.host(), templates::current, clock);
         links = new PeerLinks(linkOptions, transport, clock, linkCounters);
         membership = new Membership(
                 NodeOptions.membership(settings, place),
@@ -95,7 +92,7 @@
         CallPath.Surroundings surroundings = new CallPath.Surroundings(
                 place,
                 templates::current,
-                journal,
+                operator.journal(),
                 clock,
                 timer,
                 random,
@@ -117,6 +114,8 @@
         links.attach(peerListener);
         peerListener.answer(Topic.MEMBERSHIP, membership.askHandler());
         ledger.host().ifPresent(host -> peerListener.answer(Topic.LEDGER, host.askHandler()));
+        adminHandler = operator.attach(
+                membership, links, peerListener, callPath, linkCounters, ledger.counters(), TemplateChanges.NONE);
     }
 
     /**
@@ -159,7 +158,8 @@
         }
         ledger.host().ifPresent(LedgerHost::start);
         Thread.ofVirtual().name("lease-check").start(this::checkLeases);
-        return bind("backend", NodeSetting.BACKEND_LISTEN, callPath.backendHandler())
+        return bind("admin", NodeSetting.ADMIN_LISTEN, adminHandler)
+                .flatMap(bound -> bind("backend", NodeSetting.BACKEND_LISTEN, callPath.backendHandler()))
                 .flatMap(bound -> bind("caller", NodeSetting.CALLER_LISTEN, callPath.callerHandler()));
     }
 
--- /dev/null
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/OperatorParts.java
@@ -0,0 +1,107 @@
+package org.sequoianotch.daemon;
+
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Supplier;
+import org.sequoianotch.daemon.admin.AdminHandler;
+import org.sequoianotch.daemon.admin.AdminParts;
+import org.sequoianotch.daemon.admin.NodeAnswers;
+import org.sequoianotch.daemon.admin.NodeLoad;
+import org.sequoianotch.daemon.admin.OperatorKeys;
+import org.sequoianotch.daemon.admin.TemplateChanges;
+import org.sequoianotch.daemon.burn.BurnCounters;
+import org.sequoianotch.daemon.call.CallPath;
+import org.sequoianotch.daemon.explain.Journal;
+import org.sequoianotch.daemon.explain.JournalChain;
+import org.sequoianotch.daemon.explain.RequestJournal;
+import org.sequoianotch.daemon.explain.ServiceCounters;
+import org.sequoianotch.daemon.http.HttpHandler;
+import org.sequoianotch.daemon.ledger.LedgerCounters;
+import org.sequoianotch.daemon.metrics.NodeMetrics;
+import org.sequoianotch.daemon.metrics.PartMetrics;
+import org.sequoianotch.membership.Membership;
+import org.sequoianotch.model.HostId;
+import org.sequoianotch.model.Instance;
+import org.sequoianotch.model.LoadReport;
+import org.sequoianotch.protocol.Topic;
+import org.sequoianotch.protocol.link.Asker;
+import org.sequoianotch.protocol.link.LinkCounters;
+import org.sequoianotch.protocol.link.PeerListener;
+import org.sequoianotch.settings.NodeSetting;
+import org.sequoianotch.settings.NodeSettings;
+import org.sequoianotch.template.TemplateSet;
+import org.sequoianotch.time.Clock;
+
+/** What operators see of a node: timelines, counters, metrics and the handler of the admin listener. */
+final class OperatorParts {
+    private final NodeSettings settings;
+    private final HostId host;
+    private final Supplier<TemplateSet> templates;
+    private final Clock clock;
+    private final RequestJournal journal;
+    private final ServiceCounters services;
+    private final BurnCounters burn;
+    private final NodeMetrics metrics;
+    private final OperatorKeys keys;
+
+    OperatorParts(NodeSettings settings, HostId host, Supplier<TemplateSet> templates, Clock clock) {
+        this.settings = settings;
+        this.host = host;
+        this.templates = templates;
+        this.clock = clock;
+        long slowMs = settings.number(NodeSetting.EXPLAIN_SLOW_MS);
+        journal = new RequestJournal(host, clock, (int) settings.number(NodeSetting.EXPLAIN_MAX_REQUESTS), slowMs);
+        services = new ServiceCounters(clock, slowMs);
+        burn = new BurnCounters(clock, templates);
+        metrics = new NodeMetrics(templates);
+        keys = OperatorKeys.parse(settings.text(NodeSetting.ADMIN_KEYS))
+                .orElseThrow(() -> new NodeStartException(
+                        "[admin] operator_keys must be name=key pairs separated by commas, each name once."));
+    }
+
+    /** Takes down what happens to requests. */
+    Journal journal() {
+        return JournalChain.of(journal, services, burn, metrics);
+    }
+
+    /** Connects the parts to the rest of the node and returns the handler of the admin listener. */
+    HttpHandler attach(
+            Membership membership,
+            Asker asker,
+            PeerListener peerListener,
+            CallPath callPath,
+            LinkCounters linkCounters,
+            LedgerCounters ledgerCounters,
+            TemplateChanges changes) {
+        PartMetrics.addOpen(metrics, callPath::openRequests, peerListener::openCalls);
+        PartMetrics.addLinks(metrics, linkCounters);
+        PartMetrics.addMembership(metrics, membership);
+        PartMetrics.addLedger(metrics, ledgerCounters);
+        AdminParts parts = new AdminParts(
+                host,
+                clock,
+                templates,
+                membership::view,
+                asker,
+                () -> load(callPath),
+                journal,
+                services,
+                burn,
+                metrics,
+                changes);
+        peerListener.answer(Topic.EXPLAIN, new NodeAnswers(parts));
+        boolean loopback =
+                settings.address(NodeSetting.ADMIN_LISTEN).getAddress().isLoopbackAddress();
+        return new AdminHandler(parts, keys, loopback);
+    }
+
+    private NodeLoad load(CallPath callPath) {
+        Map<String, LoadReport> loads = new TreeMap<>();
+        for (Instance instance : callPath.instances().announced()) {
+            callPath.instances()
+                    .load(instance.service())
+                    .ifPresent(load -> loads.put(instance.service().name(), load));
+        }
+        return new NodeLoad(templates.get().revision(), callPath.openRequests(), loads);
+    }
+}
--- /dev/null
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/admin/AdminHandler.java
@@ -0,0 +1,237 @@
+package org.sequoianotch.daemon.admin;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vavr.control.Either;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.sequoianotch.daemon.burn.BurnHtml;
+import org.sequoianotch.daemon.burn.BurnReport;
+import org.sequoianotch.daemon.burn.BurnText;
+import org.sequoianotch.daemon.explain.NodeQuestion;
+import org.sequoianotch.daemon.explain.RequestTimeline;
+import org.sequoianotch.daemon.explain.ServiceSummary;
+import org.sequoianotch.daemon.http.HttpExchange;
+import org.sequoianotch.daemon.http.HttpHandler;
+import org.sequoianotch.daemon.http.WholeResponse;
+import org.sequoianotch.daemon.metrics.NodeMetrics;
+import org.sequoianotch.error.Failure;
+import org.sequoianotch.model.RequestId;
+import org.sequoianotch.model.ServiceName;
+import org.sequoianotch.protocol.HeaderField;
+
+/**
+ * Serves operators and the collection of metrics.
+ *
+ * <p>On a loopback listener, metrics, health and status need no key, and other questions need one only if operators
+ * have keys at all. On any other listener, everything but health needs a key. Every change needs one. This class is
+ * thread-safe.
+ */
+public final class AdminHandler implements HttpHandler {
+    private static final Logger LOG = LogManager.getLogger(AdminHandler.class);
+    private static final long ASK_TIMEOUT_MS = 2_000;
+    private static final long HOUR_MS = 3_600_000;
+    private static final long MAX_SINCE_MS = 7 * 24 * HOUR_MS;
+    private static final String EXPLAIN = "/v1/explain/";
+    private static final String EXPLAIN_SERVICE = "/v1/explain/service/";
+    private static final String TEMPLATES = "/v1/templates/";
+    private static final String HEALTH = "/v1/health";
+    private static final List<String> OPEN_PATHS = List.of("/metrics", HEALTH, "/v1/status");
+    private static final String TEXT = "text/plain; charset=utf-8";
+    private static final String HTML = "text/html; charset=utf-8";
+
+    private final AdminParts parts;
+    private final OperatorKeys keys;
+    private final boolean loopback;
+    private final NodeAsker asker;
+    private final TemplateEndpoint templateEndpoint;
+
+    /**
+     * Creates the handler.
+     *
+     * @param parts the parts of this node; not null
+     * @param keys keys of the operators; not null
+     * @param loopback true if only processes on the same host can reach the listener
+     */
+    public AdminHandler(AdminParts parts, OperatorKeys keys, boolean loopback) {
+        this.parts = parts;
+        this.keys = keys;
+        this.loopback = loopback;
+        asker = new NodeAsker(parts.host(), parts.view(), parts.asker(), parts.clock(), ASK_TIMEOUT_MS);
+        templateEndpoint = new TemplateEndpoint(parts.changes(), parts.view(), parts.clock());
+    }
+
+    @Override
+    public void handle(HttpExchange exchange) throws InterruptedException {
+        // The body is read before any refusal: closing a connection with unread bytes can take the answer with it.
+        Either<Failure, byte[]> body = exchange.readWholeBody(TemplateEndpoint.MAX_TEMPLATE_BYTES);
+        WholeResponse response;
+        try {
+            response = serve(exchange, body);
+        } catch (RuntimeException e) {
+            LOG.error("[admin] {} {} failed on a defect.", exchange.method(), exchange.uri(), e);
+            response = AdminResponses.error(AdminError.INTERNAL, "The node failed on an internal error: " + e);
+        }
+        exchange.respond(response);
+    }
+
+    private WholeResponse serve(HttpExchange exchange, Either<Failure, byte[]> body) throws InterruptedException {
+        Optional<AdminRequest> parsed = AdminRequest.of(exchange);
+        if (parsed.isEmpty()) {
+            return AdminResponses.error(AdminError.BAD_QUESTION, "The request target is malformed.");
+        }
+        AdminRequest request = parsed.get();
+        boolean change = request.path().startsWith(TEMPLATES);
+        String method = change ? "PUT" : "GET";
+        Optional<String> operator = exchange.header("Authorization").flatMap(keys::operator);
+        if (operator.isEmpty() && needsKey(request.path(), change)) {
+            return keyNeeded(exchange, change);
+        }
+        if (!exchange.method().equals(method)) {
+            return AdminResponses.error(AdminError.METHOD_NOT_ALLOWED, "This path takes " + method + " only.")
+                    .plusHeader("Allow", method);
+        }
+        if (change) {
+            return templateEndpoint.put(request, body, request.after(TEMPLATES), operator.orElseThrow());
+        }
+        return get(request);
+    }
+
+    private boolean needsKey(String path, boolean change) {
+        if (change) {
+            return true;
+        }
+        if (!loopback) {
+            return !path.equals(HEALTH);
+        }
+        return !OPEN_PATHS.contains(path) && !keys.isEmpty();
+    }
+
+    private WholeResponse keyNeeded(HttpExchange exchange, boolean change) {
+        boolean sent = exchange.header("Authorization").isPresent();
+        if (sent) {
+            LOG.warn("[admin] {} {} came with a wrong key.", exchange.method(), exchange.uri());
+        }
+        String detail = keys.isEmpty()
+                ? "No operator key is set on this node: see [admin] operator_keys."
+                : sent ? "The operator key is wrong." : "This needs an operator key: Authorization: Bearer KEY.";
+        return AdminResponses.error(AdminError.KEY_NEEDED, change ? detail + " Nothing was changed." : detail)
+                .plusHeader("WWW-Authenticate", "Bearer realm=\"sequoianotch\"");
+    }
+
+    private WholeResponse get(AdminRequest request) throws InterruptedException {
+        String path = request.path();
+        return switch (path) {
+            case "/metrics" -> new WholeResponse(
+                    AdminResponses.OK,
+                    List.of(new HeaderField("Content-Type", NodeMetrics.CONTENT_TYPE)),
+                    parts.metrics().text());
+            case HEALTH -> health();
+            case "/v1/status" -> status();
+            case "/v1/templates" -> templates();
+            case "/v1/burn" -> burn(request);
+            case "/v1/burn.html" -> AdminResponses.text(HTML, BurnHtml.render(mergedBurn(false)));
+            default -> explain(request);
+        };
+    }
+
+    private WholeResponse health() {
+        ObjectNode json = JsonNodeFactory.instance.objectNode();
+        json.put("status", "up").put("host", parts.host().name());
+        json.put("template_revision", parts.templates().get().revision());
+        return AdminResponses.json(AdminResponses.OK, json);
+    }
+
+    private WholeResponse status() throws InterruptedException {
+        Answers<NodeLoad> answers =
+                asker.askAll(new NodeQuestion.OfLoad(), parts.load().get(), NodeLoad::decode);
+        ObjectNode json = StatusReport.of(
+                parts.host(),
+                parts.view().get(),
+                parts.templates().get(),
+                answers,
+                parts.changes().leader());
+        AdminResponses.addMissing(json, answers.missing());
+        return AdminResponses.json(AdminResponses.OK, json);
+    }
+
+    private WholeResponse templates() {
+        return AdminResponses.json(
+                AdminResponses.OK, TemplateJson.of(parts.templates().get()));
+    }
+
+    private WholeResponse burn(AdminRequest request) throws InterruptedException {
+        String scope = request.text("scope").orElse("all");
+        String format = request.text("format").orElse("json");
+        if (!scope.equals("all") && !scope.equals("node")) {
+            return AdminResponses.error(AdminError.BAD_QUESTION, "The parameter scope must be all or node.");
+        }
+        BurnReport report = mergedBurn(scope.equals("node"));
+        return switch (format) {
+            case "json" -> AdminResponses.json(AdminResponses.OK, BurnText.json(report));
+            case "text" -> AdminResponses.text(TEXT, BurnText.text(report));
+            case "html" -> AdminResponses.text(HTML, BurnHtml.render(report));
+            default -> AdminResponses.error(
+                    AdminError.BAD_QUESTION, "The parameter format must be json, text or html.");
+        };
+    }
+
+    private BurnReport mergedBurn(boolean ownNodeOnly) throws InterruptedException {
+        BurnReport own = parts.burn().report();
+        if (ownNodeOnly) {
+            return own;
+        }
+        Answers<BurnReport> answers = asker.askAll(new NodeQuestion.OfBurn(), own, BurnReport::decode);
+        return BurnReport.merge(answers.byHost().values(), answers.missing());
+    }
+
+    private WholeResponse explain(AdminRequest request) throws InterruptedException {
+        if (request.path().startsWith(EXPLAIN_SERVICE)) {
+            return explainService(request, request.after(EXPLAIN_SERVICE));
+        }
+        if (!request.path().startsWith(EXPLAIN)) {
+            return AdminResponses.error(AdminError.NOT_FOUND, "There is nothing at " + request.path() + ".");
+        }
+        Optional<RequestId> id = RequestId.parse(request.after(EXPLAIN));
+        if (id.isEmpty()) {
+            return AdminResponses.error(
+                    AdminError.BAD_QUESTION, "A request id has 32 hexadecimal digits: see Sequoianotch-Request-Id.");
+        }
+        Answers<RequestTimeline> answers = asker.askAll(
+                new NodeQuestion.OfRequest(id.get()), parts.journal().timeline(id.get()), RequestTimeline::decode);
+        RequestTimeline timeline = RequestTimeline.merge(answers.byHost().values());
+        ObjectNode json = ExplainJson.of(id.get(), timeline, answers.missing());
+        return AdminResponses.json(AdminResponses.OK, json);
+    }
+
+    private WholeResponse explainService(AdminRequest request, String name) throws InterruptedException {
+        Either<WholeResponse, OptionalLong> since = request.number("since_ms", MAX_SINCE_MS);
+        if (since.isLeft()) {
+            return since.getLeft();
+        }
+        Optional<ServiceName> service = knownService(name);
+        if (service.isEmpty()) {
+            return AdminResponses.error(AdminError.NOT_FOUND, "No template in force contains service " + name + ".");
+        }
+        long sinceMs = since.get().orElse(HOUR_MS);
+        Answers<ServiceSummary> answers = asker.askAll(
+                new NodeQuestion.OfService(service.get(), sinceMs),
+                parts.services().summary(service.get(), sinceMs),
+                ServiceSummary::decode);
+        ServiceSummary summary = ServiceSummary.merge(answers.byHost().values());
+        return AdminResponses.json(
+                AdminResponses.OK, ExplainJson.of(service.get(), sinceMs, summary, answers.missing()));
+    }
+
+    private Optional<ServiceName> knownService(String name) {
+        try {
+            ServiceName service = ServiceName.of(name);
+            return parts.templates().get().templateOf(service).map(template -> service);
+        } catch (IllegalArgumentException e) {
+            return Optional.empty();
+        }
+    }
+}
--- /dev/null
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/admin/AdminRequest.java
@@ -0,0 +1,64 @@
+package org.sequoianotch.daemon.admin;
+
+import io.netty.handler.codec.http.QueryStringDecoder;
+import io.vavr.control.Either;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.sequoianotch.daemon.http.HttpExchange;
+import org.sequoianotch.daemon.http.WholeResponse;
+
+/** Path and parameters of a request of an operator. This class is immutable. */
+final class AdminRequest {
+    private final String path;
+    private final QueryStringDecoder query;
+
+    private AdminRequest(String path, QueryStringDecoder query) {
+        this.path = path;
+        this.query = query;
+    }
+
+    /** Returns the request, or empty if its target is malformed. */
+    static Optional<AdminRequest> of(HttpExchange exchange) {
+        try {
+            QueryStringDecoder query = new QueryStringDecoder(exchange.uri());
+            String path = query.path();
+            query.parameters();
+            return Optional.of(new AdminRequest(path, query));
+        } catch (IllegalArgumentException e) {
+            return Optional.empty();
+        }
+    }
+
+    String path() {
+        return path;
+    }
+
+    /** Returns the rest of the path after a prefix. */
+    String after(String prefix) {
+        return path.substring(prefix.length());
+    }
+
+    Optional<String> text(String name) {
+        List<String> values = query.parameters().getOrDefault(name, List.of());
+        return values.isEmpty() ? Optional.empty() : Optional.of(values.get(0));
+    }
+
+    /** Reads a parameter that may be missing; the answer says what is wrong with it. */
+    Either<WholeResponse, OptionalLong> number(String name, long max) {
+        Optional<String> value = text(name);
+        if (value.isEmpty()) {
+            return Either.right(OptionalLong.empty());
+        }
+        try {
+            long number = Long.parseLong(value.get());
+            if (number >= 0 && number <= max) {
+                return Either.right(OptionalLong.of(number));
+            }
+        } catch (NumberFormatException e) {
+            // Answered below, like a number out of range.
+        }
+        return Either.left(AdminResponses.error(
+                AdminError.BAD_QUESTION, "The parameter " + name + " must be a whole number from 0 to " + max + "."));
+    }
+}
--- /dev/null
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/admin/AdminResponses.java
@@ -0,0 +1,37 @@
+package org.sequoianotch.daemon.admin;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.SortedMap;
+import org.sequoianotch.daemon.http.WholeResponse;
+import org.sequoianotch.model.HostId;
+
+/** Responses of the admin listener. This class is stateless. */
+final class AdminResponses {
+    static final int OK = 200;
+    private static final String JSON = "application/json; charset=utf-8";
+
+    private AdminResponses() {}
+
+    static WholeResponse json(int status, JsonNode body) {
+        return WholeResponse.ofText(status, JSON, body.toPrettyString() + "\n");
+    }
+
+    static WholeResponse text(String contentType, String body) {
+        return WholeResponse.ofText(OK, contentType, body);
+    }
+
+    static WholeResponse error(AdminError error, String detail) {
+        return json(error.status(), errorBody(error.code(), detail));
+    }
+
+    static ObjectNode errorBody(String code, String detail) {
+        return JsonNodeFactory.instance.objectNode().put("error", code).put("detail", detail);
+    }
+
+    static void addMissing(ObjectNode json, SortedMap<HostId, String> missing) {
+        ObjectNode node = json.putObject("not_answered");
+        missing.forEach((host, reason) -> node.put(host.name(), reason));
+    }
+}
--- /dev/null
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/admin/TemplateEndpoint.java
@@ -0,0 +1,180 @@
+package org.sequoianotch.daemon.admin;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vavr.control.Either;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.function.Supplier;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.sequoianotch.daemon.http.WholeResponse;
+import org.sequoianotch.error.ErrorKind;
+import org.sequoianotch.error.Failure;
+import org.sequoianotch.membership.Member;
+import org.sequoianotch.membership.MembershipView;
+import org.sequoianotch.model.OrganisationName;
+import org.sequoianotch.settings.SettingsProblem;
+import org.sequoianotch.template.ProtectionTemplate;
+import org.sequoianotch.template.TemplateParser;
+import org.sequoianotch.time.Clock;
+
+/**
+ * Takes template changes from operators.
+ *
+ * <p>This class is thread-safe.
+ */
+final class TemplateEndpoint {
+    private static final Logger LOG = LogManager.getLogger(TemplateEndpoint.class);
+    /** A change must fit into one frame of 256 KiB with room for its other components. */
+    static final int MAX_TEMPLATE_BYTES = 240 * 1024;
+
+    private static final long MAX_WAIT_MS = 120_000;
+    private static final long WAIT_POLL_MS = 50;
+    private static final String CHANGE_ID_PATTERN = "[A-Za-z0-9._-]{8,64}";
+
+    private final TemplateChanges changes;
+    private final Supplier<MembershipView> view;
+    private final Clock clock;
+
+    TemplateEndpoint(TemplateChanges changes, Supplier<MembershipView> view, Clock clock) {
+        this.changes = changes;
+        this.view = view;
+        this.clock = clock;
+    }
+
+    /** What the operator asked for, checked. */
+    private record Change(OrganisationName organisation, long expectedRevision, String changeId, boolean dryRun) {}
+
+    WholeResponse put(AdminRequest request, Either<Failure, byte[]> body, String organisation, String operator)
+            throws InterruptedException {
+        Either<WholeResponse, Change> change = read(request, organisation);
+        Either<WholeResponse, OptionalLong> waitMs = request.number("wait_ms", MAX_WAIT_MS);
+        if (change.isLeft() || waitMs.isLeft()) {
+            return change.isLeft() ? change.getLeft() : waitMs.getLeft();
+        }
+        if (body.isLeft()) {
+            boolean tooLarge = body.getLeft().kind() == ErrorKind.BAD_REQUEST;
+            AdminError error = tooLarge ? AdminError.TOO_LARGE : AdminError.BAD_QUESTION;
+            return AdminResponses.error(error, body.getLeft().detail() + " Nothing was changed.");
+        }
+        String text = new String(body.get(), StandardCharsets.UTF_8);
+        List<String> problems = problems(change.get().organisation(), text);
+        if (!problems.isEmpty()) {
+            String sentence = "The template has problems. Nothing was changed.";
+            return refused(new ChangeResult.Refused(ChangeRefusal.INVALID, sentence, problems, ""));
+        }
+        return apply(change.get(), text, operator, waitMs.get().orElse(0));
+    }
+
+    private static Either<WholeResponse, Change> read(AdminRequest request, String organisation) {
+        Either<WholeResponse, OptionalLong> revision = request.number("expect_revision", Long.MAX_VALUE);
+        if (revision.isLeft()) {
+            return Either.left(revision.getLeft());
+        }
+        String changeId = request.text("change_id").orElse("");
+        String dryRun = request.text("dry_run").orElse("false");
+        if (revision.get().isEmpty() || !changeId.matches(CHANGE_ID_PATTERN)) {
+            return bad("The parameters expect_revision and change_id (8 to 64 letters, digits, '.', '_' or '-') are"
+                    + " needed.");
+        }
+        if (!dryRun.equals("true") && !dryRun.equals("false")) {
+            return bad("The parameter dry_run must be true or false.");
+        }
+        try {
+            return Either.right(new Change(
+                    OrganisationName.of(organisation), revision.get().getAsLong(), changeId, dryRun.equals("true")));
+        } catch (IllegalArgumentException e) {
+            return bad("The organisation in the path is not a valid name: " + e.getMessage());
+        }
+    }
+
+    private static Either<WholeResponse, Change> bad(String detail) {
+        return Either.left(AdminResponses.error(AdminError.BAD_QUESTION, detail));
+    }
+
+    private static List<String> problems(OrganisationName organisation, String text) {
+        Either<List<SettingsProblem>, ProtectionTemplate> parsed = TemplateParser.parse("template", text);
+        if (parsed.isLeft()) {
+            return parsed.getLeft().stream().map(SettingsProblem::toString).toList();
+        }
+        OrganisationName named = parsed.get().organisation();
+        return named.equals(organisation)
+                ? List.of()
+                : List.of("The template is for organisation " + named + ", not for " + organisation + ".");
+    }
+
+    private WholeResponse apply(Change change, String text, String operator, long waitMs) throws InterruptedException {
+        ChangeResult result = changes.apply(
+                change.organisation(), text, change.expectedRevision(), change.changeId(), operator, change.dryRun());
+        return switch (result) {
+            case ChangeResult.Refused refused -> {
+                LOG.info(
+                        "[admin] A change of {} by {} was refused with {}.",
+                        change.organisation(),
+                        operator,
+                        refused.refusal().code());
+                yield refused(refused);
+            }
+            case ChangeResult.Accepted accepted -> {
+                if (!change.dryRun()) {
+                    LOG.info(
+                            "[admin] Operator {} changed the template of {}: revision {}, change id {}.",
+                            operator,
+                            change.organisation(),
+                            accepted.revision(),
+                            change.changeId());
+                }
+                yield accepted(change, accepted, waitMs);
+            }
+        };
+    }
+
+    private static WholeResponse refused(ChangeResult.Refused refused) {
+        ObjectNode json = AdminResponses.errorBody(refused.refusal().code(), refused.sentence())
+                .put("difference", refused.difference());
+        ArrayNode problems = json.putArray("problems");
+        refused.problems().forEach(problems::add);
+        return AdminResponses.json(refused.refusal().status(), json);
+    }
+
+    private WholeResponse accepted(Change change, ChangeResult.Accepted accepted, long waitMs)
+            throws InterruptedException {
+        ObjectNode json = JsonNodeFactory.instance
+                .objectNode()
+                .put("revision", accepted.revision())
+                .put("change_id", change.changeId())
+                .put("dry_run", change.dryRun())
+                .put("difference", accepted.difference());
+        if (!change.dryRun() && waitMs > 0) {
+            addProgress(json, accepted.revision(), waitMs);
+        }
+        return AdminResponses.json(AdminResponses.OK, json);
+    }
+
+    private void addProgress(ObjectNode json, long revision, long waitMs) throws InterruptedException {
+        double deadlineMs = clock.monotonicMs() + waitMs;
+        List<Member> behind = behind(revision);
+        while (!behind.isEmpty() && clock.monotonicMs() < deadlineMs) {
+            clock.sleep(WAIT_POLL_MS);
+            behind = behind(revision);
+        }
+        List<Member> unreachable = view.get().members().stream()
+                .filter(member -> !member.state().isReachable())
+                .toList();
+        long reachable = view.get().members().size() - unreachable.size();
+        json.put("nodes_on_revision", reachable - behind.size()).put("nodes_reachable", reachable);
+        ArrayNode names = json.putArray("nodes_behind");
+        behind.forEach(member -> names.add(member.host().name()));
+        ArrayNode gone = json.putArray("nodes_not_reachable");
+        unreachable.forEach(member -> gone.add(member.host().name()));
+    }
+
+    private List<Member> behind(long revision) {
+        return view.get().members().stream()
+                .filter(member -> member.state().isReachable() && member.configurationRevision() < revision)
+                .toList();
+    }
+}
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/explain/EventKind.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/explain/EventKind.java
@@ -21,7 +21,9 @@
     /** An attempt failed. */
     FAILED(true),
     /** A node cancelled the call. */
-    CANCELLED(true);
+    CANCELLED(true),
+    /** Stands for events in the middle of a long timeline that are not kept. */
+    LEFT_OUT(false);
 
     private final boolean notable;
 
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/explain/RequestJournal.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/explain/RequestJournal.java
@@ -19,11 +19,19 @@
 public final class RequestJournal implements Journal {
     /** Events kept of one request, so that a long chain cannot fill the memory. */
     private static final int MAX_EVENTS = 64;
+    /** The first events say what was asked, the last ones how it ended; those in between go. */
+    private static final int FIRST_EVENTS = MAX_EVENTS / 2;
+    /** A sentence can cite a path of up to 8 KiB, the limit of the request line. */
+    private static final int MAX_SENTENCE_CHARS = 512;
+    /** Mean size of a timeline for which there is room; without it, long sentences could fill a heap of 48 MB. */
+    private static final int MEAN_TIMELINE_CHARS = 2_048;
 
     private final HostId host;
     private final Clock clock;
     private final int maxRequests;
     private final double slowMs;
+    private final long maxChars;
+    private long chars;
     private final Map<RequestId, Timeline> ordinary = new LinkedHashMap<>();
     private final Map<RequestId, Timeline> notable = new LinkedHashMap<>();
 
@@ -40,6 +48,7 @@
         this.clock = clock;
         this.maxRequests = maxRequests;
         this.slowMs = slowMs;
+        this.maxChars = (long) maxRequests * MEAN_TIMELINE_CHARS;
     }
 
     @Override
@@ -48,32 +57,34 @@
         if (timeline == null) {
             timeline = new Timeline();
             ordinary.put(requestId, timeline);
-            evict();
-        }
-        if (timeline.events.size() < MAX_EVENTS) {
-            timeline.events.add(new TimelineEvent(clock.nowMs(), host, kind, sentence));
         }
+        chars += timeline.add(new TimelineEvent(clock.nowMs(), host, kind, shorten(sentence)));
         if (kind.isNotable()) {
             promote(requestId);
         }
+        evict(requestId);
     }
 
     @Override
     public synchronized void finish(RequestSummary summary) {
+        Timeline timeline = find(summary.requestId());
+        if (timeline != null) {
+            timeline.end = RequestEnd.of(host, summary);
+        }
         if (summary.latencyMs() > slowMs) {
             promote(summary.requestId());
         }
     }
 
     /**
-     * Returns the events of a request.
+     * Returns what is known of a request.
      *
      * @param requestId the request; not null
-     * @return the events in the order in which they happened, never null; empty if the request is not known
+     * @return the events in the order in which they happened and the end; empty if the request is not known
      */
-    public synchronized List<TimelineEvent> events(RequestId requestId) {
+    public synchronized RequestTimeline timeline(RequestId requestId) {
         Timeline timeline = find(requestId);
-        return timeline == null ? List.of() : List.copyOf(timeline.events);
+        return timeline == null ? RequestTimeline.EMPTY : new RequestTimeline(timeline.kept(), timeline.end);
     }
 
     /**
@@ -97,19 +108,62 @@
         }
     }
 
-    private void evict() {
-        if (size() <= maxRequests) {
-            return;
+    private static String shorten(String sentence) {
+        return sentence.length() <= MAX_SENTENCE_CHARS
+                ? sentence
+                : sentence.substring(0, MAX_SENTENCE_CHARS - 1) + "\u2026";
+    }
+
+    private void evict(RequestId current) {
+        while (size() > 1 && (size() > maxRequests || chars > maxChars)) {
+            if (!evictOldest(ordinary, current)) {
+                evictOldest(notable, current);
+            }
+        }
+    }
+
+    /** The request that an event was just added to must not be the one that goes. */
+    private boolean evictOldest(Map<RequestId, Timeline> source, RequestId current) {
+        Iterator<Map.Entry<RequestId, Timeline>> oldest = source.entrySet().iterator();
+        while (oldest.hasNext()) {
+            Map.Entry<RequestId, Timeline> entry = oldest.next();
+            if (!entry.getKey().equals(current)) {
+                chars -= entry.getValue().chars;
+                oldest.remove();
+                return true;
+            }
         }
-        // The request just added is ordinary too and must not be the one that goes.
-        Map<RequestId, Timeline> source = ordinary.size() > 1 ? ordinary : notable;
-        Iterator<RequestId> oldest = source.keySet().iterator();
-        oldest.next();
-        oldest.remove();
+        return false;
     }
 
     /** Events of one request. */
     private static final class Timeline {
         private final List<TimelineEvent> events = new ArrayList<>(4);
+        private @Nullable RequestEnd end;
+        private int leftOut;
+        private long chars;
+
+        /** Adds an event and returns by how many characters the timeline grew. */
+        private long add(TimelineEvent event) {
+            long before = chars;
+            events.add(event);
+            chars += event.sentence().length();
+            if (events.size() > MAX_EVENTS) {
+                chars -= events.remove(FIRST_EVENTS).sentence().length();
+                leftOut++;
+            }
+            return chars - before;
+        }
+
+        private List<TimelineEvent> kept() {
+            if (leftOut == 0) {
+                return events;
+            }
+            List<TimelineEvent> all = new ArrayList<>(events);
+            TimelineEvent last = all.get(FIRST_EVENTS - 1);
+            String sentence = leftOut + " events of this host are not kept here.";
+            all.add(FIRST_EVENTS, new TimelineEvent(last.atMs(), last.host(), EventKind.LEFT_OUT, sentence));
+            return all;
+        }
     }
 }
--- /dev/null
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/explain/ServiceCounters.java
@@ -0,0 +1,120 @@
+package org.sequoianotch.daemon.explain;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import org.sequoianotch.model.RequestId;
+import org.sequoianotch.model.ServiceName;
+import org.sequoianotch.time.Clock;
+
+/**
+ * Counts, for each minute, what became of the requests that entered at this node, by service, rule, effect and cause.
+ *
+ * <p>Memory is bounded: {@value #MINUTES} minutes, with {@value #MAX_CELLS} different counts in each; what goes beyond
+ * is counted under the rule {@code other}. This class is thread-safe.
+ */
+public final class ServiceCounters implements Journal {
+    static final int MINUTES = 120;
+    static final int MAX_CELLS = 256;
+    private static final double MINUTE_MS = 60_000;
+    private static final int SERVER_ERROR = 500;
+
+    private final Clock clock;
+    private final double slowMs;
+    private final Deque<Minute> minutes = new ArrayDeque<>();
+
+    /**
+     * Creates counters that stand at zero.
+     *
+     * @param clock the clock; not null
+     * @param slowMs a request that took longer counts as delayed, in milliseconds
+     */
+    public ServiceCounters(Clock clock, double slowMs) {
+        this.clock = clock;
+        this.slowMs = slowMs;
+    }
+
+    @Override
+    public void record(RequestId requestId, EventKind kind, String sentence) {
+        // Events name no service; requests are counted when they end.
+    }
+
+    @Override
+    public synchronized void finish(RequestSummary summary) {
+        Minute minute = current();
+        minute.add(summary, effect(summary), cause(summary));
+        if (summary.attempts() > 1) {
+            minute.add(summary, ServiceSummary.Effect.RETRIED, "more than one attempt");
+        }
+    }
+
+    /**
+     * Adds up the counts of a service.
+     *
+     * @param service the service; not null
+     * @param sinceMs how far to look back, in milliseconds, rounded up to whole minutes
+     * @return the counts, never null
+     */
+    public synchronized ServiceSummary summary(ServiceName service, long sinceMs) {
+        long oldest = (long) Math.floor((clock.monotonicMs() - sinceMs) / MINUTE_MS);
+        Map<ServiceSummary.Cell, Long> sums = new HashMap<>();
+        for (Minute minute : minutes) {
+            if (minute.number >= oldest) {
+                minute.counts.forEach((key, count) -> {
+                    if (key.service().equals(service)) {
+                        sums.merge(key.cell(), count, Long::sum);
+                    }
+                });
+            }
+        }
+        return ServiceSummary.of(sums);
+    }
+
+    private Minute current() {
+        long number = (long) Math.floor(clock.monotonicMs() / MINUTE_MS);
+        if (minutes.isEmpty() || minutes.getLast().number != number) {
+            minutes.addLast(new Minute(number));
+        }
+        while (minutes.getFirst().number <= number - MINUTES) {
+            minutes.removeFirst();
+        }
+        return minutes.getLast();
+    }
+
+    private ServiceSummary.Effect effect(RequestSummary summary) {
+        if (summary.error().isPresent()) {
+            return summary.error().get().provesNotRun() ? ServiceSummary.Effect.REFUSED : ServiceSummary.Effect.CUT;
+        }
+        return summary.latencyMs() > slowMs ? ServiceSummary.Effect.DELAYED : ServiceSummary.Effect.SERVED;
+    }
+
+    private String cause(RequestSummary summary) {
+        if (summary.error().isPresent()) {
+            return summary.error().get().code();
+        }
+        String answer = summary.status() >= SERVER_ERROR ? "the backend server answered with an error" : "answered";
+        return summary.latencyMs() > slowMs ? answer + " after more than " + (long) slowMs + " ms" : answer;
+    }
+
+    private record Key(ServiceName service, ServiceSummary.Cell cell) {}
+
+    /** Counts of one minute. */
+    private static final class Minute {
+        private final long number;
+        private final Map<Key, Long> counts = new HashMap<>();
+
+        private Minute(long number) {
+            this.number = number;
+        }
+
+        private void add(RequestSummary summary, ServiceSummary.Effect effect, String cause) {
+            ServiceName service = summary.rule().service();
+            Key key = new Key(service, new ServiceSummary.Cell(summary.rule().label(), effect, cause));
+            if (counts.size() >= MAX_CELLS && !counts.containsKey(key)) {
+                key = new Key(service, new ServiceSummary.Cell("other", effect, "other"));
+            }
+            counts.merge(key, 1L, Long::sum);
+        }
+    }
+}
--- /dev/null
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/explain/ServiceSummary.java
@@ -0,0 +1,151 @@
+package org.sequoianotch.daemon.explain;
+
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.msgpack.core.MessageUnpacker;
+import org.sequoianotch.error.Failure;
+
+/**
+ * Counts of the requests of one service by rule, effect and cause.
+ *
+ * <p>This type is immutable.
+ *
+ * @param rows the counts, the largest first; not null
+ */
+public record ServiceSummary(List<Row> rows) {
+    private static final int MAX_ROWS = 2_000;
+    private static final Comparator<Row> LARGEST_FIRST = Comparator.comparingLong(Row::count)
+            .reversed()
+            .thenComparing(row -> row.cell().toString());
+
+    /** What became of a request. */
+    public enum Effect {
+        /** A backend server answered in time. */
+        SERVED("served without delay"),
+        /** A backend server answered, but slowly. */
+        DELAYED("delayed"),
+        /** It was proved that nothing ran. */
+        REFUSED("refused"),
+        /** The request was cut off, and it is not certain whether it ran. */
+        CUT("cut off"),
+        /** At least one more attempt was made. Such requests count once more under how they ended. */
+        RETRIED("retried");
+
+        private final String words;
+
+        Effect(String words) {
+            this.words = words;
+        }
+    }
+
+    /**
+     * What is counted together.
+     *
+     * @param rule label of the route rule; not null
+     * @param effect what became of the requests; not null
+     * @param cause error kind, or another plain word; not null
+     */
+    public record Cell(String rule, Effect effect, String cause) {}
+
+    /**
+     * One count.
+     *
+     * @param cell what is counted; not null
+     * @param count the count; positive
+     */
+    public record Row(Cell cell, long count) {}
+
+    /** Sorts the rows. */
+    public ServiceSummary {
+        rows = rows.stream().sorted(LARGEST_FIRST).limit(MAX_ROWS).toList();
+    }
+
+    static ServiceSummary of(Map<Cell, Long> counts) {
+        return new ServiceSummary(counts.entrySet().stream()
+                .map(entry -> new Row(entry.getKey(), entry.getValue()))
+                .toList());
+    }
+
+    /**
+     * Adds up the counts of several nodes.
+     *
+     * @param parts the counts; not null
+     * @return the sums, never null
+     */
+    public static ServiceSummary merge(Collection<ServiceSummary> parts) {
+        Map<Cell, Long> sums = new TreeMap<>(Comparator.comparing(Cell::toString));
+        parts.forEach(part -> part.rows.forEach(row -> sums.merge(row.cell(), row.count(), Long::sum)));
+        return of(sums);
+    }
+
+    /**
+     * Renders the counts.
+     *
+     * @return one sentence for each count, the first with the total, never null
+     */
+    public List<String> render() {
+        long total = rows.stream()
+                .filter(row -> row.cell().effect() != Effect.RETRIED)
+                .mapToLong(Row::count)
+                .sum();
+        long served = rows.stream()
+                .filter(row -> row.cell().effect() == Effect.SERVED)
+                .mapToLong(Row::count)
+                .sum();
+        List<String> lines = new ArrayList<>();
+        lines.add(total + " requests ended; " + served + " were served without delay, " + (total - served)
+                + " were not.");
+        for (Row row : rows) {
+            Cell cell = row.cell();
+            lines.add(row.count() + " " + cell.effect().words + " by rule \"" + cell.rule() + "\": " + cell.cause()
+                    + ".");
+        }
+        return lines;
+    }
+
+    /**
+     * Encodes the counts for another node.
+     *
+     * @return the payload, never null
+     */
+    public byte[] encode() {
+        return StrictCodec.encode(packer -> {
+            packer.packArrayHeader(rows.size());
+            for (Row row : rows) {
+                packer.packArrayHeader(4)
+                        .packString(row.cell().rule())
+                        .packInt(row.cell().effect().ordinal())
+                        .packString(row.cell().cause())
+                        .packLong(row.count());
+            }
+        });
+    }
+
+    /**
+     * Decodes counts.
+     *
+     * @param payload the payload; not null
+     * @return the counts, or the failure if the payload is malformed
+     */
+    public static Either<Failure, ServiceSummary> decode(byte[] payload) {
+        return StrictCodec.decode(payload, ServiceSummary::unpack);
+    }
+
+    private static ServiceSummary unpack(MessageUnpacker unpacker) throws IOException {
+        int count = StrictCodec.count(unpacker, MAX_ROWS);
+        List<Row> rows = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            StrictCodec.expect(unpacker, 4);
+            Cell cell = new Cell(
+                    unpacker.unpackString(), StrictCodec.constant(unpacker, Effect.values()), unpacker.unpackString());
+            rows.add(new Row(cell, StrictCodec.natural(unpacker)));
+        }
+        return new ServiceSummary(rows);
+    }
+}
--- /dev/null
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/explain/TimelineText.java
@@ -0,0 +1,97 @@
+package org.sequoianotch.daemon.explain;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.TreeSet;
+import org.sequoianotch.error.ErrorKind;
+import org.sequoianotch.model.HostId;
+
+/** Tells a timeline in plain sentences; the first one tells the outcome. This class is stateless. */
+public final class TimelineText {
+    private TimelineText() {}
+
+    /**
+     * Renders a timeline.
+     *
+     * @param timeline the timeline; not null
+     * @return the sentences and then one line for each event, never null
+     */
+    public static List<String> render(RequestTimeline timeline) {
+        List<String> lines = new ArrayList<>();
+        lines.add(outcome(timeline));
+        timeline.end()
+                .ifPresent(end -> lines.add(String.format(
+                        "Host %s was its entry node; the rule \"%s\" of template revision %d was in force, and the"
+                                + " entry node made %s.",
+                        end.host(), end.rule(), end.revision(), counted(end.attempts(), "attempt"))));
+        if (!timeline.events().isEmpty()) {
+            lines.add(whatRan(timeline));
+        }
+        for (TimelineEvent event : timeline.events()) {
+            lines.add(Instant.ofEpochMilli(event.atMs()) + " " + event.host() + ": " + event.sentence());
+        }
+        return lines;
+    }
+
+    private static String outcome(RequestTimeline timeline) {
+        if (timeline.endOrNull() != null) {
+            return outcomeOf(timeline.endOrNull(), timeline);
+        }
+        List<TimelineEvent> events = timeline.events();
+        if (events.isEmpty()) {
+            return "No node that answered knows this request: it is older than what they keep, or its id is wrong.";
+        }
+        boolean onlyRefused = events.stream().allMatch(event -> event.kind() == EventKind.REFUSED);
+        return onlyRefused
+                ? "The request was refused on arrival and did not run."
+                : "How the request ended is not known: it still runs, or no answer holds its entry node's record.";
+    }
+
+    private static String outcomeOf(RequestEnd end, RequestTimeline timeline) {
+        String after = String.format(Locale.ROOT, "after %.1f ms", end.latencyMs());
+        if (end.error().isEmpty()) {
+            boolean kept = end.attempts() == 0 && has(timeline, EventKind.KEY_ANSWERED);
+            return kept
+                    ? "The caller got the kept answer of an earlier run, with status " + end.status() + " " + after
+                            + "; nothing ran now."
+                    : "The request completed: a backend server answered in full with status " + end.status() + " "
+                            + after + ".";
+        }
+        ErrorKind kind = end.error().get();
+        String told = "the caller was told " + kind.code() + " (status " + end.status() + ") " + after + ".";
+        if (kind == ErrorKind.CALLER_GONE) {
+            told = "the caller closed its connection " + after + ".";
+        }
+        return (kind.provesNotRun() ? "The request did not run: " : "It is not certain whether the request ran: ")
+                + told;
+    }
+
+    private static String whatRan(RequestTimeline timeline) {
+        TreeSet<HostId> hosts = new TreeSet<>();
+        int calls = 0;
+        for (TimelineEvent event : timeline.events()) {
+            if (event.kind() == EventKind.ADMITTED) {
+                calls++;
+                hosts.add(event.host());
+            }
+        }
+        if (calls == 0) {
+            return "None of the nodes that answered sent a call of it to a backend server.";
+        }
+        return String.format(
+                "%s sent to backend servers, on %s %s; what the other lines say was refused did not run.",
+                calls == 1 ? "1 call was" : calls + " calls were",
+                hosts.size() == 1 ? "host" : "hosts",
+                String.join(", ", hosts.stream().map(HostId::name).toList()));
+    }
+
+    private static String counted(int number, String noun) {
+        return number + " " + noun + (number == 1 ? "" : "s");
+    }
+
+    private static boolean has(RequestTimeline timeline, EventKind kind) {
+        return timeline.events().stream().anyMatch(event -> event.kind() == kind);
+    }
+}
--- /dev/null
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/metrics/NodeMetrics.java
@@ -0,0 +1,191 @@
+package org.sequoianotch.daemon.metrics;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.CounterWithCallback;
+import io.prometheus.metrics.core.metrics.GaugeWithCallback;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.util.Locale;
+import java.util.Map;
+import java.util.function.DoubleSupplier;
+import java.util.function.Supplier;
+import org.sequoianotch.daemon.explain.EventKind;
+import org.sequoianotch.daemon.explain.Journal;
+import org.sequoianotch.daemon.explain.RequestSummary;
+import org.sequoianotch.error.ErrorKind;
+import org.sequoianotch.error.Outcome;
+import org.sequoianotch.model.RequestId;
+import org.sequoianotch.model.ServiceName;
+import org.sequoianotch.template.TemplateSet;
+
+/**
+ * Metrics of one node. Requests are counted as they end; everything else is read when the metrics are.
+ *
+ * <p>Label values are bounded: a service that no template in force contains is counted as {@code other}. This class is
+ * thread-safe.
+ */
+public final class NodeMetrics implements Journal {
+    /** Media type of {@link #text}. */
+    public static final String CONTENT_TYPE = PrometheusTextFormatWriter.CONTENT_TYPE;
+
+    private static final String OTHER = "other";
+    private static final String NO_ERROR = "none";
+    private static final double MS_PER_S = 1_000.0;
+    private static final double[] LATENCY_BOUNDS_S = {
+        0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10, 30
+    };
+
+    private final PrometheusRegistry registry = new PrometheusRegistry();
+    private final PrometheusTextFormatWriter writer = new PrometheusTextFormatWriter(false);
+    private final Supplier<TemplateSet> templates;
+    private final Counter requests;
+    private final Histogram latency;
+    private final Counter attempts;
+    private final Counter retries;
+    private final Counter refusals;
+    private final Counter events;
+
+    /**
+     * Creates metrics that stand at zero.
+     *
+     * @param templates the templates in force; not null
+     */
+    public NodeMetrics(Supplier<TemplateSet> templates) {
+        this.templates = templates;
+        requests = Counter.builder()
+                .name("sequoianotch_requests_total")
+                .help("Requests from callers that ended at this entry node.")
+                .labelNames("service", "criticality", "outcome", "error")
+                .register(registry);
+        latency = Histogram.builder()
+                .name("sequoianotch_request_duration_seconds")
+                .help("Time from the arrival of a request's head to the end of its answer.")
+                .labelNames("service")
+                .classicOnly()
+                .classicUpperBounds(LATENCY_BOUNDS_S)
+                .register(registry);
+        attempts = counter("sequoianotch_attempts_total", "Attempts that this entry node made for requests.");
+        retries = counter("sequoianotch_retries_total", "Attempts after the first that this entry node made.");
+        refusals = Counter.builder()
+                .name("sequoianotch_refusals_total")
+                .help("Requests from callers that were refused and proved not to have run.")
+                .labelNames("service", "error")
+                .register(registry);
+        events = Counter.builder()
+                .name("sequoianotch_events_total")
+                .help("Events of requests and sub-calls on this node, by kind.")
+                .labelNames("kind")
+                .register(registry);
+        registerMemory();
+    }
+
+    private Counter counter(String name, String help) {
+        return Counter.builder().name(name).help(help).labelNames("service").register(registry);
+    }
+
+    private void registerMemory() {
+        Runtime runtime = Runtime.getRuntime();
+        gauge(
+                "sequoianotch_jvm_heap_used_bytes",
+                "Heap memory in use.",
+                () -> runtime.totalMemory() - runtime.freeMemory());
+        gauge("sequoianotch_jvm_heap_committed_bytes", "Heap memory committed.", runtime::totalMemory);
+        gauge("sequoianotch_jvm_heap_max_bytes", "Limit of the heap memory.", runtime::maxMemory);
+        gauge("sequoianotch_template_revision", "Revision of the templates in force.", () -> templates
+                .get()
+                .revision());
+    }
+
+    @Override
+    public void record(RequestId requestId, EventKind kind, String sentence) {
+        events.labelValues(kind.name().toLowerCase(Locale.ROOT)).inc();
+    }
+
+    @Override
+    public void finish(RequestSummary summary) {
+        String service = serviceLabel(summary.rule().service());
+        String error = summary.error().map(ErrorKind::code).orElse(NO_ERROR);
+        Outcome outcome = summary.error().map(ErrorKind::outcome).orElse(Outcome.COMPLETED);
+        requests.labelValues(service, summary.rule().criticality().code(), outcome.headerValue(), error)
+                .inc();
+        latency.labelValues(service).observe(summary.latencyMs() / MS_PER_S);
+        if (summary.attempts() > 0) {
+            attempts.labelValues(service).inc(summary.attempts());
+        }
+        if (summary.attempts() > 1) {
+            retries.labelValues(service).inc(summary.attempts() - 1);
+        }
+        if (summary.error().isPresent() && summary.error().get().provesNotRun()) {
+            refusals.labelValues(service, error).inc();
+        }
+    }
+
+    private String serviceLabel(ServiceName service) {
+        return templates.get().templateOf(service).isPresent() ? service.name() : OTHER;
+    }
+
+    /**
+     * Adds a counter that is read when the metrics are.
+     *
+     * @param name the name, which ends in {@code _total}; not null
+     * @param help what it counts; not null
+     * @param value gives the count; not null
+     */
+    public void counter(String name, String help, DoubleSupplier value) {
+        CounterWithCallback.builder()
+                .name(name)
+                .help(help)
+                .callback(callback -> callback.call(value.getAsDouble()))
+                .register(registry);
+    }
+
+    /**
+     * Adds a gauge that is read when the metrics are.
+     *
+     * @param name the name, which ends in its unit; not null
+     * @param help what it measures; not null
+     * @param value gives the value; not null
+     */
+    public void gauge(String name, String help, DoubleSupplier value) {
+        GaugeWithCallback.builder()
+                .name(name)
+                .help(help)
+                .callback(callback -> callback.call(value.getAsDouble()))
+                .register(registry);
+    }
+
+    /**
+     * Adds a gauge with one label that is read when the metrics are.
+     *
+     * @param name the name; not null
+     * @param help what it measures; not null
+     * @param label name of the label; not null
+     * @param values gives the value for each value of the label, of which there must be a bounded number; not null
+     */
+    public void gauge(String name, String help, String label, Supplier<Map<String, Double>> values) {
+        GaugeWithCallback.builder()
+                .name(name)
+                .help(help)
+                .labelNames(label)
+                .callback(callback -> values.get().forEach((key, value) -> callback.call(value, key)))
+                .register(registry);
+    }
+
+    /**
+     * Renders all metrics.
+     *
+     * @return the Prometheus text format in UTF-8, never null
+     */
+    public byte[] text() {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        try {
+            writer.write(out, registry.scrape());
+        } catch (IOException e) {
+            throw new IllegalStateException("Writing into memory cannot fail", e);
+        }
+        return out.toByteArray();
+    }
+}
--- /dev/null
+++ b/sequoianotch-daemon/src/test/java/org/sequoianotch/daemon/burn/BurnTest.java
@@ -0,0 +1,136 @@
+package org.sequoianotch.daemon.burn;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.atomic.AtomicReference;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.sequoianotch.daemon.explain.Summaries;
+import org.sequoianotch.error.ErrorKind;
+import org.sequoianotch.model.HostId;
+import org.sequoianotch.model.RequestId;
+import org.sequoianotch.template.TemplateSet;
+import org.sequoianotch.time.ManualClock;
+
+final class BurnTest {
+    private static final RequestId ID = new RequestId(1, 1);
+
+    private final ManualClock clock = ManualClock.startingAt(0);
+    private final AtomicReference<TemplateSet> templates = new AtomicReference<>(Summaries.templates());
+    private final BurnCounters counters = new BurnCounters(clock, templates::get);
+
+    private BurnLine line() {
+        return counters.report().lines().get(0);
+    }
+
+    /** Guards against an error kind that is blamed on the wrong cause, or a caller's mistake that counts. */
+    @ParameterizedTest
+    @CsvSource({
+        ",200,100,GOOD",
+        ",404,1,GOOD",
+        ",200,100.1,LATE",
+        ",503,1,FAILED",
+        "OVERLOADED,503,1,SHED",
+        "RETRIES_EXHAUSTED,503,1,SHED",
+        "DEADLINE_BEFORE_RUN,504,1,LATE",
+        "NO_INSTANCE,503,1,FAILED",
+        "DRAINING,503,1,FAILED",
+        "INTERNAL,500,1,FAILED",
+        "CONNECTION_LOST,502,1,UNKNOWN",
+        "DEADLINE_IN_DOUBT,504,1,UNKNOWN",
+        "LEDGER_UNREACHABLE,503,1,UNKNOWN",
+        "KEY_REUSED,422,1,",
+        "BODY_INCOMPLETE,400,1,",
+        "CALLER_GONE,499,1,",
+        "CALLER_GONE,499,101,LATE"
+    })
+    void verdicts(ErrorKind error, int status, double latencyMs, Verdict expected) {
+        counters.finish(Summaries.of(ID, error, status, latencyMs, 1));
+        WindowCounts counts = line().fast();
+        long[] found = {counts.good(), counts.shed(), counts.late(), counts.failed(), counts.unknown()};
+        for (Verdict verdict : Verdict.values()) {
+            assertThat(found[verdict.ordinal()]).isEqualTo(verdict == expected ? 1 : 0);
+        }
+    }
+
+    /** Guards against windows that forget too early or too late. */
+    @Test
+    void windowsEndAtTheirBorders() {
+        clock.advance(9_999);
+        counters.finish(Summaries.of(ID, ErrorKind.OVERLOADED, 503, 1, 0));
+        clock.advance(290_000);
+        assertThat(line().fast().shed()).isEqualTo(1);
+        clock.advance(1);
+        assertThat(line().fast().shed()).isEqualTo(0);
+        assertThat(line().slow().shed()).isEqualTo(1);
+        clock.advance(3_299_999);
+        assertThat(line().slow().shed()).isEqualTo(1);
+        assertThat(line().minutes().get(0).shed()).isEqualTo(1);
+        clock.advance(1);
+        assertThat(line().slow().shed()).isEqualTo(0);
+    }
+
+    /** Guards against a slot of the ring that still holds the counts of an hour ago. */
+    @Test
+    void slotsAreClearedWhenTheRingComesRound() {
+        counters.finish(Summaries.of(ID, ErrorKind.OVERLOADED, 503, 1, 0));
+        clock.advance(3_600_000);
+        counters.finish(Summaries.of(ID, null, 200, 1, 1));
+        assertThat(line().slow()).isEqualTo(new WindowCounts(1, 0, 0, 0, 0));
+    }
+
+    /** Guards against a burn rate that is off by the error budget: 2 of 100 bad with 1 % allowed is 2. */
+    @Test
+    void burnRateIsBadFractionOverBudget() {
+        for (int i = 0; i < 100; i++) {
+            counters.finish(Summaries.of(ID, i < 2 ? ErrorKind.OVERLOADED : null, 200, 1, 1));
+        }
+        assertThat(line().fastRate()).isWithin(1e-9).of(2.0);
+        assertThat(BurnText.text(counters.report()))
+                .contains("caisse critical (99% within 100 ms): burn rate 2.00 over 5 min and 2.00 over 1 h;"
+                        + " 98 of 100 requests were good in the last hour; the budget went to 2 shed.");
+    }
+
+    /** Guards against sums that lose a node, and against payloads that change on the way. */
+    @Test
+    void reportsOfNodesAreAddedUp() {
+        counters.finish(Summaries.of(ID, ErrorKind.OVERLOADED, 503, 1, 0));
+        BurnReport own = counters.report();
+        BurnReport other = BurnReport.decode(own.encode()).get();
+        assertThat(other).isEqualTo(own);
+        var missing = new TreeMap<>(Map.of(HostId.of("host-9"), "It is silent."));
+        BurnReport merged = BurnReport.merge(List.of(own, other), missing);
+        assertThat(merged.nodes()).isEqualTo(2);
+        assertThat(merged.lines().get(0).slow().shed()).isEqualTo(2);
+        assertThat(merged.lines().get(0).minutes().get(59).shed()).isEqualTo(2);
+        assertThat(BurnText.text(merged)).contains("Host host-9 did not answer");
+        byte[] payload = own.encode();
+        assertThat(BurnReport.decode(Arrays.copyOf(payload, payload.length - 1)).isLeft())
+                .isTrue();
+    }
+
+    /** Guards against counts of objectives that templates no longer contain. */
+    @Test
+    void removedObjectivesLoseTheirCounts() {
+        counters.finish(Summaries.of(ID, ErrorKind.OVERLOADED, 503, 1, 0));
+        TemplateSet before = templates.getAndSet(TemplateSet.EMPTY);
+        assertThat(counters.report().lines()).isEmpty();
+        templates.set(before);
+        assertThat(line().slow().total()).isEqualTo(0);
+    }
+
+    /** Guards against a page that loads something from elsewhere, or that takes text from nodes as markup. */
+    @Test
+    void htmlRefersToNothingOutside() {
+        counters.finish(Summaries.of(ID, ErrorKind.OVERLOADED, 503, 1, 0));
+        var missing = new TreeMap<>(Map.of(HostId.of("host-9"), "<script>alert(1)</script>"));
+        String page = BurnHtml.render(BurnReport.merge(List.of(counters.report()), missing));
+        assertThat(page).contains("<rect ");
+        assertThat(page).doesNotContainMatch("(?i)https?:|src=|href=|url\\(|@import|<script|<link");
+    }
+}
--- /dev/null
+++ b/sequoianotch-daemon/src/test/java/org/sequoianotch/daemon/explain/ExchangeTest.java
@@ -0,0 +1,135 @@
+package org.sequoianotch.daemon.explain;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.Arrays;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.sequoianotch.error.ErrorKind;
+import org.sequoianotch.model.HostId;
+import org.sequoianotch.model.RequestId;
+import org.sequoianotch.model.ServiceName;
+import org.sequoianotch.time.ManualClock;
+
+final class ExchangeTest {
+    private static final RequestId ID = new RequestId(7, 9);
+    private static final HostId HOST = HostId.of("host-1");
+
+    private static RequestTimeline timeline(ErrorKind error, int status, int attempts, EventKind... kinds) {
+        RequestEnd end = RequestEnd.of(HOST, Summaries.of(ID, error, status, 12.5, attempts));
+        return new RequestTimeline(events(kinds), end);
+    }
+
+    private static List<TimelineEvent> events(EventKind... kinds) {
+        return Arrays.stream(kinds)
+                .map(kind -> new TimelineEvent(1_000, HOST, kind, "It was " + kind + "."))
+                .toList();
+    }
+
+    /** Guards against payloads that change on the way between nodes. */
+    @Test
+    void valuesSurviveTheWire() {
+        RequestTimeline whole = timeline(ErrorKind.OVERLOADED, 503, 2, EventKind.RECEIVED, EventKind.REFUSED);
+        assertThat(RequestTimeline.decode(whole.encode()).get()).isEqualTo(whole);
+        assertThat(RequestTimeline.decode(RequestTimeline.EMPTY.encode()).get()).isEqualTo(RequestTimeline.EMPTY);
+        for (NodeQuestion question : List.of(
+                new NodeQuestion.OfRequest(ID),
+                new NodeQuestion.OfService(Summaries.CAISSE, 60_000),
+                new NodeQuestion.OfBurn(),
+                new NodeQuestion.OfLoad())) {
+            assertThat(NodeQuestion.decode(question.encode()).get()).isEqualTo(question);
+        }
+    }
+
+    /** Guards against a cut or lengthened payload that is taken as a whole one. */
+    @Test
+    void malformedPayloadsAreRefused() {
+        byte[] whole =
+                timeline(ErrorKind.OVERLOADED, 503, 2, EventKind.RECEIVED).encode();
+        for (int length = 0; length < whole.length; length++) {
+            assertThat(RequestTimeline.decode(Arrays.copyOf(whole, length)).isLeft())
+                    .isTrue();
+        }
+        assertThat(RequestTimeline.decode(Arrays.copyOf(whole, whole.length + 1))
+                        .isLeft())
+                .isTrue();
+        byte[] unknownQuestion =
+                StrictCodec.encode(packer -> packer.packArrayHeader(1).packInt(9));
+        assertThat(NodeQuestion.decode(unknownQuestion).isLeft()).isTrue();
+        byte[] longQuestion = StrictCodec.encode(
+                packer -> packer.packArrayHeader(2).packInt(2).packInt(1));
+        assertThat(NodeQuestion.decode(longQuestion).isLeft()).isTrue();
+    }
+
+    /** Guards against an explanation whose first sentence hides whether the request ran. */
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = ';',
+            value = {
+                "; 200; 1; The request completed: a backend server answered in full with status 200 after 12.5 ms.",
+                "OVERLOADED; 503; 0; The request did not run: the caller was told overloaded (status 503)",
+                "CONNECTION_LOST; 502; 1; It is not certain whether the request ran: the caller was told",
+                "CALLER_GONE; 499; 1; It is not certain whether the request ran: the caller closed its connection"
+            })
+    void firstSentenceTellsTheOutcome(ErrorKind error, int status, int attempts, String expected) {
+        List<String> lines = TimelineText.render(timeline(error, status, attempts, EventKind.RECEIVED));
+        assertThat(lines.get(0)).startsWith(expected);
+        assertThat(lines.get(2)).startsWith("None of the nodes that answered");
+    }
+
+    /** Guards against explanations of kept answers, early refusals and unknown requests that claim a run. */
+    @Test
+    void nothingRanWhereNothingRan() {
+        assertThat(TimelineText.render(timeline(null, 200, 0, EventKind.KEY_ANSWERED))
+                        .get(0))
+                .contains("nothing ran now");
+        assertThat(TimelineText.render(new RequestTimeline(events(EventKind.REFUSED), null))
+                        .get(0))
+                .isEqualTo("The request was refused on arrival and did not run.");
+        assertThat(TimelineText.render(RequestTimeline.EMPTY).get(0)).startsWith("No node that answered knows");
+        assertThat(TimelineText.render(new RequestTimeline(events(EventKind.SENT), null))
+                        .get(0))
+                .startsWith("How the request ended is not known");
+        assertThat(TimelineText.render(timeline(null, 200, 1, EventKind.ADMITTED))
+                        .get(2))
+                .startsWith("1 call was sent to backend servers, on host host-1");
+    }
+
+    /** Guards against counts of a service that leak into another one, outlive their time or grow without bound. */
+    @Test
+    void serviceCountersAreBoundedAndForget() {
+        ManualClock clock = ManualClock.startingAt(0);
+        ServiceCounters counters = new ServiceCounters(clock, 500);
+        counters.finish(Summaries.of(ID, ErrorKind.OVERLOADED, 503, 1, 0));
+        counters.finish(Summaries.of(ID, null, 200, 501, 2));
+        counters.finish(Summaries.of(ServiceName.of("jury"), ID, null, 200, 1, 1));
+        ServiceSummary summary = counters.summary(Summaries.CAISSE, 60_000);
+        assertThat(summary.rows().stream().map(row -> row.cell().effect()).toList())
+                .containsExactly(
+                        ServiceSummary.Effect.REFUSED, ServiceSummary.Effect.DELAYED, ServiceSummary.Effect.RETRIED);
+        assertThat(summary.render().get(0)).startsWith("2 requests ended; 0 were served without delay, 2 were not.");
+        assertThat(ServiceSummary.decode(summary.encode()).get()).isEqualTo(summary);
+        assertThat(ServiceSummary.merge(List.of(summary, summary)).rows().get(0).count())
+                .isEqualTo(2);
+
+        for (int i = 0; i < 1_000; i++) {
+            counters.finish(Summaries.of(ServiceName.of("s" + i % 300), ID, null, 200, 1, 1));
+        }
+        assertThat(counters.summary(ServiceName.of("s299"), 1)
+                        .rows()
+                        .get(0)
+                        .cell()
+                        .rule())
+                .isEqualTo("other");
+
+        clock.advance(59_999);
+        assertThat(counters.summary(Summaries.CAISSE, 0).rows()).isNotEmpty();
+        clock.advance(1);
+        assertThat(counters.summary(Summaries.CAISSE, 0).rows()).isEmpty();
+        clock.advance(ServiceCounters.MINUTES * 60_000.0);
+        counters.finish(Summaries.of(ID, null, 200, 1, 1));
+        assertThat(counters.summary(Summaries.CAISSE, 1_000_000_000).rows()).hasSize(1);
+    }
+}
