--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/Node.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/Node.java
@@ -12,11 +12,11 @@
 import java.util.random.RandomGenerator;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.sequoianotch.daemon.admin.TemplateChanges;
 import org.sequoianotch.daemon.call.CallPath;
 import org.sequoianotch.daemon.call.HostPlace;
 import org.sequoianotch.daemon.call.LocalInstances;
 import org.sequoianotch.daemon.call.ServicePolicies;
-import org.sequoianotch.daemon.explain.RequestJournal;
 import org.sequoianotch.daemon.http.HttpHandler;
 import org.sequoianotch.daemon.http.HttpListener;
 import org.sequoianotch.daemon.ledger.LedgerHost;
@@ -61,6 +61,7 @@
     private final CallPath callPath;
     private final LedgerParts ledger;
     private final Optional<ControlParts> control;
+    private final HttpHandler adminHandler;
     private final List<HttpListener> listeners = new ArrayList<>();
     private volatile boolean stopped;
 
@@ -71,11 +72,7 @@
         RandomGenerator random = () -> ThreadLocalRandom.current().nextLong();
         LinkCounters linkCounters = new LinkCounters();
         LinkOptions linkOptions = NodeOptions.links(settings, place);
-        RequestJournal journal = new RequestJournal(
-                place.host(),
-                clock,
-                (int) settings.number(NodeSetting.EXPLAIN_MAX_REQUESTS),
-                settings.number(NodeSetting.EXPLAIN_SLOW_MS));
+        OperatorParts operator = new OperatorParts(settings, place.host(), templates::current, clock);
         links = new PeerLinks(linkOptions, transport, clock, linkCounters);
         membership = new Membership(
                 NodeOptions.membership(settings, place),
@@ -99,7 +96,7 @@
         CallPath.Surroundings surroundings = new CallPath.Surroundings(
                 place,
                 templates::current,
-                journal,
+                operator.journal(),
                 clock,
                 timer,
                 random,
@@ -122,6 +119,14 @@
         peerListener.answer(Topic.MEMBERSHIP, membership.askHandler());
         ledger.host().ifPresent(host -> peerListener.answer(Topic.LEDGER, host.askHandler()));
         control.ifPresent(parts -> peerListener.answer(Topic.CONTROL, parts.askHandler()));
+        adminHandler = operator.attach(
+                membership, links, peerListener, callPath, linkCounters, ledger.counters(), templateChanges());
+    }
+
+    private TemplateChanges templateChanges() {
+        return control.<TemplateChanges>map(parts ->
+                        new GroupTemplateChanges(parts.client(), parts.group().orElse(null)))
+                .orElse(TemplateChanges.NONE);
     }
 
     /**
@@ -169,7 +174,8 @@
             return Either.left(Failure.of(ErrorKind.INTERNAL, String.valueOf(e.getMessage())));
         }
         Thread.ofVirtual().name("lease-check").start(this::checkLeases);
-        return bind("backend", NodeSetting.BACKEND_LISTEN, callPath.backendHandler())
+        return bind("admin", NodeSetting.ADMIN_LISTEN, adminHandler)
+                .flatMap(bound -> bind("backend", NodeSetting.BACKEND_LISTEN, callPath.backendHandler()))
                 .flatMap(bound -> bind("caller", NodeSetting.CALLER_LISTEN, callPath.callerHandler()));
     }
 
