--- /dev/null
+++ b/sequoianotch-daemon/src/test/java/org/sequoianotch/daemon/ledger/LedgerHostTest.java
@@ -0,0 +1,277 @@
+package org.sequoianotch.daemon.ledger;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.sequoianotch.model.DataCentre;
+import org.sequoianotch.model.HostId;
+import org.sequoianotch.protocol.HeaderField;
+import org.sequoianotch.time.ManualClock;
+
+/** Guards against grants by a host that cannot know whether it granted the key before, and against unbounded memory. */
+final class LedgerHostTest {
+    private static final DataCentre HOME = LedgerWorld.HOME;
+    private static final Fingerprint REQUEST = Fingerprint.of("POST", "/jobbook/jobs", 10);
+    private static final long RETENTION_MS = 100_000;
+
+    private final ManualClock clock = ManualClock.startingAt(LedgerWorld.START_MS);
+    private final Random random = new Random(1);
+
+    @TempDir
+    private Path root;
+
+    @Test
+    void secondHostLostRightAfterTheFirstWasRepairedForgetsNothing() {
+        try (LedgerWorld world = new LedgerWorld(1, 3, null, false)) {
+            LedgerClient client = world.client("node0", null);
+            IdempotencyKey key = world.newKey(true);
+            assertThat(client.claim(key, REQUEST, 1_000)).isInstanceOf(ClaimResult.Granted.class);
+            for (String host : List.of("host0", "host1", "host2", "host0")) {
+                world.stopHost(host);
+                world.startHost(host);
+                assertThat(world.hosts.get(host).state()).isEqualTo(LedgerHost.State.RECOVERING);
+                world.heal();
+                assertThat(world.serving()).isTrue();
+            }
+
+            assertThat(client.claim(key, REQUEST, 1_000)).isInstanceOf(ClaimResult.InProgress.class);
+        }
+    }
+
+    @Test
+    void grantFromBeforeALossIsNotCombinedWithALaterGrant() {
+        try (LedgerWorld world = new LedgerWorld(1, 3, null, false)) {
+            IdempotencyKey key = world.newKey(true);
+            LedgerMessage first = new LedgerMessage.Claim(key.text(), new ClaimId(1, 1), REQUEST, 1_000);
+            LedgerMessage second = new LedgerMessage.Claim(key.text(), new ClaimId(2, 2), REQUEST, 1_000);
+            ClaimRound firstRound = new ClaimRound(List.of("host0", "host1", "host2"), REQUEST);
+            ClaimRound secondRound = new ClaimRound(List.of("host0", "host1", "host2"), REQUEST);
+
+            ask(world, firstRound, "host0", first);
+            world.stopHost("host0");
+            world.startHost("host0");
+            world.heal();
+            ask(world, secondRound, "host0", second);
+            ask(world, secondRound, "host2", second);
+            ask(world, firstRound, "host1", first);
+
+            assertThat(secondRound.owned()).isTrue();
+            assertThat(firstRound.owned()).isFalse();
+        }
+    }
+
+    @Test
+    void afterALossOfAllHostsOnlyKeysMintedLaterAreGranted() {
+        try (LedgerWorld world = new LedgerWorld(1, 3, null, false)) {
+            LedgerClient client = world.client("node0", null);
+            IdempotencyKey minted = world.newKey(true);
+            IdempotencyKey other = world.newKey(false);
+            world.clock.advance(1_000);
+            world.hosts.keySet().stream().toList().forEach(world::stopHost);
+            world.heal();
+            world.clock.advance(1_000);
+
+            assertThat(client.claim(minted, REQUEST, 1_000)).isInstanceOf(ClaimResult.InDoubt.class);
+            assertThat(client.claim(other, REQUEST, 1_000)).isInstanceOf(ClaimResult.InDoubt.class);
+            assertThat(client.claim(world.newKey(true), REQUEST, 1_000)).isInstanceOf(ClaimResult.Granted.class);
+        }
+    }
+
+    @Test
+    void keysOfAnOlderEpochStayInDoubt() {
+        try (LedgerWorld world = new LedgerWorld(1, 3, null, false)) {
+            IdempotencyKey old = world.newKey(true);
+            world.raiseEpoch();
+            world.heal();
+            world.clock.advance(10);
+
+            LedgerClient client = world.client("node0", null);
+            assertThat(client.claim(old, REQUEST, 1_000)).isInstanceOf(ClaimResult.InDoubt.class);
+            assertThat(client.claim(world.newKey(true), REQUEST, 1_000)).isInstanceOf(ClaimResult.Granted.class);
+        }
+    }
+
+    @Test
+    void withoutAMajorityNothingIsGranted() {
+        try (LedgerWorld world = new LedgerWorld(1, 3, null, false)) {
+            world.stopHost("host0");
+            LedgerClient client = world.client("node0", null);
+            assertThat(client.claim(world.newKey(true), REQUEST, 1_000)).isInstanceOf(ClaimResult.Granted.class);
+            world.stopHost("host1");
+
+            assertThat(client.claim(world.newKey(true), REQUEST, 1_000)).isInstanceOf(ClaimResult.Unreachable.class);
+        }
+    }
+
+    @Test
+    void repeatsAreToldTheStateOfTheKey() {
+        LedgerClient client = single(settings(Optional.empty()));
+        IdempotencyKey key = key();
+        Claim claim = ((ClaimResult.Granted) client.claim(key, REQUEST, 1_000)).claim();
+
+        assertThat(client.claim(key, REQUEST, 1_000)).isInstanceOf(ClaimResult.InProgress.class);
+        clock.advance(1_001);
+        assertThat(client.claim(key, REQUEST, 1_000)).isInstanceOf(ClaimResult.InDoubt.class);
+        KeptAnswer answer = KeptAnswer.of(201, List.of(new HeaderField("Location", "/1")), new byte[] {1, 2});
+        assertThat(claim.complete(answer, 1_000)).isTrue();
+        assertThat(client.claim(key, REQUEST, 1_000)).isEqualTo(new ClaimResult.Completed(answer));
+        assertThat(client.claim(key, Fingerprint.of("POST", "/jobbook/jobs", 11), 1_000))
+                .isInstanceOf(ClaimResult.Reused.class);
+    }
+
+    @Test
+    void releasedKeyIsFreeAndItsClaimIdIsNot() {
+        LedgerHost host = open(settings(Optional.empty()));
+        IdempotencyKey key = key();
+        LedgerMessage late = new LedgerMessage.Claim(key.text(), new ClaimId(1, 1), REQUEST, 1_000);
+        host.handle(new LedgerMessage.Release(key.text(), new ClaimId(1, 1)));
+
+        assertThat(host.handle(late).get()).isEqualTo(new LedgerReply.Refused(LedgerReply.Reason.RELEASED));
+        assertThat(host.handle(new LedgerMessage.Claim(key.text(), new ClaimId(2, 2), REQUEST, 1_000))
+                        .get())
+                .isInstanceOf(LedgerReply.Granted.class);
+    }
+
+    @Test
+    void claimsAreBoundedAndForgottenAfterTheRetention() {
+        LedgerHost host = open(settings(Optional.empty()).withMaxClaims(2));
+        LedgerClient client = client(host);
+        IdempotencyKey first = key();
+        client.claim(first, REQUEST, 1_000);
+        client.claim(key(), REQUEST, 1_000);
+
+        ClaimResult full = client.claim(key(), REQUEST, 1_000);
+        assertThat(((ClaimResult.Unreachable) full).detail()).contains("as many claims as it may");
+        clock.advance(RETENTION_MS + 3 * LedgerWorld.SKEW_MS);
+        host.tick();
+        assertThat(host.claimCount()).isEqualTo(0);
+        assertThat(client.claim(first, REQUEST, 1_000)).isInstanceOf(ClaimResult.InDoubt.class);
+        assertThat(client.claim(key(), REQUEST, 1_000)).isInstanceOf(ClaimResult.Granted.class);
+    }
+
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void restartWithTheFileKeepsClaimsAndAnswers(boolean compacted) throws Exception {
+        LedgerHost host = open(settings(Optional.of(root)));
+        IdempotencyKey running = key();
+        IdempotencyKey done = key();
+        KeptAnswer answer = KeptAnswer.of(200, List.of(), new byte[60_000]);
+        client(host).claim(running, REQUEST, 1_000);
+        ((ClaimResult.Granted) client(host).claim(done, REQUEST, 1_000)).claim().complete(answer, 1_000);
+        if (compacted) {
+            host.compact();
+        }
+        host.close();
+
+        try (LedgerHost again = open(settings(Optional.of(root)))) {
+            assertThat(again.state()).isEqualTo(LedgerHost.State.SERVING);
+            assertThat(client(again).claim(running, REQUEST, 1_000)).isInstanceOf(ClaimResult.InProgress.class);
+            assertThat(client(again).claim(done, REQUEST, 1_000)).isEqualTo(new ClaimResult.Completed(answer));
+        }
+    }
+
+    @Test
+    void twoClaimantsRacingOnThreadsNeverBothOwnAKey() throws Exception {
+        try (LedgerWorld world = new LedgerWorld(1, 3, null, false);
+                ExecutorService threads = Executors.newVirtualThreadPerTaskExecutor()) {
+            Map<DataCentre, List<String>> hosts = Map.of(HOME, List.copyOf(world.hosts.keySet()));
+            for (int i = 0; i < 500; i++) {
+                IdempotencyKey key = world.newKey(true);
+                CountDownLatch start = new CountDownLatch(1);
+                List<Future<ClaimResult>> results = new ArrayList<>();
+                for (int node = 0; node < 2; node++) {
+                    LedgerClient client = LedgerClient.of(
+                            hosts,
+                            (to, topic, payload, timeoutMs) ->
+                                    world.hosts.get(to).askHandler().handle(HostId.of("n"), payload),
+                            clock,
+                            new Random(2L * i + node),
+                            LedgerCounters.create(),
+                            null);
+                    results.add(threads.submit(() -> {
+                        start.await();
+                        return client.claim(key, REQUEST, 1_000);
+                    }));
+                }
+                start.countDown();
+                int owners = 0;
+                for (Future<ClaimResult> result : results) {
+                    owners += result.get() instanceof ClaimResult.Granted ? 1 : 0;
+                }
+                assertThat(owners).isAtMost(1);
+            }
+        }
+    }
+
+    @Test
+    void everyCutAndExtendedMessageIsRefused() {
+        LedgerHost host = open(settings(Optional.empty()));
+        KeptAnswer answer = KeptAnswer.of(201, List.of(new HeaderField("A", "b")), new byte[] {1});
+        byte[] message =
+                MessageCodec.encode(new LedgerMessage.Complete(key().text(), new ClaimId(1, 2), REQUEST, answer));
+        for (int length = 0; length <= message.length + 1; length++) {
+            byte[] changed = Arrays.copyOf(message, length);
+            assertThat(host.askHandler().handle(HostId.of("n"), changed).isRight())
+                    .isEqualTo(length == message.length);
+        }
+    }
+
+    private static void ask(LedgerWorld world, ClaimRound round, String host, LedgerMessage message) {
+        round.accept(new LedgerPeers.Answer(host, world.hosts.get(host).handle(message)));
+    }
+
+    private IdempotencyKey key() {
+        return IdempotencyKey.mint(HOME, 1, clock.nowMs(), random);
+    }
+
+    private static LedgerSettings settings(Optional<Path> folder) {
+        return new LedgerSettings(1, RETENTION_MS, 1_000, 1 << 20, 0, LedgerWorld.SKEW_MS, folder);
+    }
+
+    private LedgerHost open(LedgerSettings settings) {
+        LedgerHost host = LedgerHost.open(
+                        "local",
+                        List.of("local"),
+                        settings,
+                        (to, topic, payload, timeoutMs) -> {
+                            throw new AssertionError("A single host asks nobody");
+                        },
+                        clock,
+                        LedgerCounters.create(),
+                        random)
+                .get();
+        host.tick();
+        clock.advance(LedgerWorld.SKEW_MS);
+        return host;
+    }
+
+    private LedgerClient single(LedgerSettings settings) {
+        return client(open(settings));
+    }
+
+    private LedgerClient client(LedgerHost host) {
+        return LedgerClient.of(
+                Map.of(HOME, List.of("local")),
+                (to, topic, payload, timeoutMs) -> {
+                    throw new AssertionError("The local host is called without the network");
+                },
+                clock,
+                random,
+                LedgerCounters.create(),
+                host);
+    }
+}
--- /dev/null
+++ b/sequoianotch-daemon/src/test/java/org/sequoianotch/daemon/ledger/LedgerWorld.java
@@ -0,0 +1,301 @@
+package org.sequoianotch.daemon.ledger;
+
+import io.vavr.control.Either;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import org.jspecify.annotations.Nullable;
+import org.sequoianotch.error.ErrorKind;
+import org.sequoianotch.error.Failure;
+import org.sequoianotch.model.DataCentre;
+import org.sequoianotch.model.HostId;
+import org.sequoianotch.protocol.link.Asker;
+import org.sequoianotch.time.ManualClock;
+
+/**
+ * Ledger hosts and claimants in one thread, over a network that loses, delays, duplicates and cuts. Whenever a question
+ * or an answer is under way, other events may happen first, so that attempts interleave. A seed fixes the whole run.
+ */
+final class LedgerWorld implements AutoCloseable {
+    static final DataCentre HOME = DataCentre.of("dc1");
+    static final long START_MS = 1_700_000_000_000L;
+    static final long SKEW_MS = 5;
+    private static final int MAX_NESTING = 4;
+    private static final int KEYS = 12;
+
+    final Random random;
+    final ManualClock clock = ManualClock.startingAt(START_MS);
+    final Map<String, LedgerHost> hosts = new LinkedHashMap<>();
+    final List<String> violations = new ArrayList<>();
+    final Map<String, Integer> sent = new HashMap<>();
+    final Map<String, KeptAnswer> kept = new HashMap<>();
+    private final Map<String, KeptAnswer> answers = new HashMap<>();
+    private final Map<String, Fingerprint> sentFingerprints = new HashMap<>();
+    private final List<String> members = new ArrayList<>();
+    private final Map<String, Path> folders = new HashMap<>();
+    private final Set<String> cuts = new HashSet<>();
+    private final List<Runnable> delayed = new ArrayList<>();
+    private final List<Ledger> claimants = new ArrayList<>();
+    private final List<IdempotencyKey> keys = new ArrayList<>();
+    private final @Nullable Path root;
+    private long epoch = 1;
+    private long openedAtMs = START_MS + 100;
+    private int folderCount;
+    private int nesting;
+    private int attempts;
+    double faultRate;
+
+    /** Creates the world; hosts have a disk if a root folder is given and their number is even. */
+    LedgerWorld(long seed, int size, @Nullable Path root, boolean naive) {
+        this.random = new Random(seed);
+        this.root = root;
+        for (int i = 0; i < size; i++) {
+            String address = "host" + i;
+            members.add(address);
+            if (root != null && i % 2 == 0) {
+                folders.put(address, newFolder());
+            }
+        }
+        members.forEach(this::startHost);
+        heal();
+        clock.advance(200);
+        for (int i = 0; i < 3; i++) {
+            claimants.add(naive ? new NaiveLedger() : client("node" + i, null));
+        }
+        for (int i = 0; i < KEYS; i++) {
+            keys.add(newKey(i % 2 == 0));
+        }
+    }
+
+    LedgerClient client(String name, @Nullable LedgerHost local) {
+        return LedgerClient.of(
+                Map.of(HOME, members), asker(name), clock, random, LedgerCounters.create(), local, Runnable::run);
+    }
+
+    IdempotencyKey newKey(boolean minted) {
+        return minted
+                ? IdempotencyKey.mint(HOME, epoch, clock.nowMs(), random)
+                : IdempotencyKey.parse("key-" + random.nextLong(), List.of(HOME))
+                        .get();
+    }
+
+    /** Does one random thing. */
+    void step() {
+        clock.advance(random.nextInt(20));
+        int choice = random.nextInt(100);
+        if (choice < 50) {
+            attempt();
+        } else if (choice < 65) {
+            deliverDelayed();
+        } else if (choice < 80) {
+            LedgerHost host = hosts.get(pick(members));
+            if (host != null) {
+                host.tick();
+            }
+        } else if (random.nextDouble() < faultRate) {
+            fault(choice);
+        }
+    }
+
+    private void fault(int choice) {
+        String address = pick(members);
+        if (choice < 84) {
+            stopHost(address);
+        } else if (choice < 86) {
+            stopHost(address);
+            if (folders.containsKey(address)) {
+                folders.put(address, newFolder());
+            }
+        } else if (choice < 94) {
+            if (hosts.get(address) == null) {
+                startHost(address);
+            }
+        } else if (choice < 96) {
+            cuts.add("node" + random.nextInt(3) + ">" + address);
+            cuts.add(pick(members) + ">" + address);
+        } else if (choice < 99) {
+            cuts.clear();
+        } else if (random.nextInt(30) == 0) {
+            raiseEpoch();
+        }
+    }
+
+    private void attempt() {
+        int claimant = random.nextInt(claimants.size());
+        if (random.nextInt(10) == 0) {
+            keys.add(newKey(random.nextBoolean()));
+        }
+        IdempotencyKey key = keys.get(keys.size() - 1 - random.nextInt(KEYS));
+        Fingerprint fingerprint = Fingerprint.of("POST", "/jobbook/jobs", random.nextInt(20) == 0 ? 2 : 1);
+        String name = key.text();
+        int number = ++attempts;
+        ClaimResult result = claimants.get(claimant).claim(key, fingerprint, 1_000);
+        if (result instanceof ClaimResult.Granted granted) {
+            own(name, fingerprint, granted.claim(), number);
+        } else if (result instanceof ClaimResult.Completed completed) {
+            if (!completed.answer().equals(answers.get(name))) {
+                violations.add(name + " got an answer that nobody gave");
+            }
+        } else if (result instanceof ClaimResult.Reused && fingerprint.equals(sentFingerprints.get(name))) {
+            violations.add(name + " was called reused, but this very request was sent");
+        }
+    }
+
+    private void own(String name, Fingerprint fingerprint, Claim claim, int number) {
+        interleave();
+        int choice = random.nextInt(10);
+        if (choice == 0) {
+            return;
+        }
+        if (choice < 4) {
+            if (sent.getOrDefault(name, 0) > 0) {
+                violations.add(name + " was called not-run, but it was sent");
+            }
+            claim.release();
+            return;
+        }
+        sent.merge(name, 1, Integer::sum);
+        sentFingerprints.put(name, fingerprint);
+        if (sent.get(name) > 1) {
+            violations.add(name + " was sent " + sent.get(name) + " times");
+        }
+        interleave();
+        if (choice == 4) {
+            return;
+        }
+        if (choice == 5) {
+            claim.leaveInDoubt();
+            return;
+        }
+        KeptAnswer answer = KeptAnswer.of(201, List.of(), (name + "#" + number).getBytes());
+        answers.put(name, answer);
+        if (claim.complete(answer, 1_000)) {
+            kept.put(name, answer);
+        }
+    }
+
+    private void interleave() {
+        if (nesting < MAX_NESTING && random.nextInt(4) == 0) {
+            nesting++;
+            step();
+            nesting--;
+        }
+    }
+
+    Asker asker(String from) {
+        return (address, topic, payload, timeoutMs) -> {
+            interleave();
+            if (cuts.contains(from + ">" + address) || chance()) {
+                return lost(5);
+            }
+            if (chance()) {
+                delayed.add(() -> deliver(from, address, payload));
+                return lost(5);
+            }
+            if (chance()) {
+                delayed.add(() -> deliver(from, address, payload));
+            }
+            Either<Failure, byte[]> reply = deliver(from, address, payload);
+            interleave();
+            return chance() ? lost(5) : reply;
+        };
+    }
+
+    private boolean chance() {
+        return random.nextDouble() < 0.07 * faultRate;
+    }
+
+    private Either<Failure, byte[]> deliver(String from, String address, byte[] payload) {
+        LedgerHost host = hosts.get(address);
+        return host == null ? lost(0) : host.askHandler().handle(HostId.of(from), payload);
+    }
+
+    private Either<Failure, byte[]> lost(long waitMs) {
+        clock.advance(waitMs);
+        return Either.left(Failure.of(ErrorKind.CONNECTION_LOST, "lost"));
+    }
+
+    void deliverDelayed() {
+        if (!delayed.isEmpty()) {
+            delayed.remove(random.nextInt(delayed.size())).run();
+        }
+    }
+
+    void startHost(String address) {
+        LedgerSettings settings = new LedgerSettings(
+                epoch, 3_600_000, 10_000, 1 << 20, openedAtMs, SKEW_MS, Optional.ofNullable(folders.get(address)));
+        hosts.put(
+                address,
+                LedgerHost.open(
+                                address,
+                                members,
+                                settings,
+                                asker(address),
+                                clock,
+                                LedgerCounters.create(),
+                                random,
+                                Runnable::run)
+                        .get());
+    }
+
+    /** Stops a host; without a folder, it loses its claims. */
+    void stopHost(String address) {
+        LedgerHost host = hosts.remove(address);
+        if (host != null) {
+            host.close();
+        }
+    }
+
+    void raiseEpoch() {
+        epoch++;
+        for (String address : members) {
+            stopHost(address);
+            startHost(address);
+        }
+    }
+
+    /** Ends all faults and lets the hosts recover. */
+    void heal() {
+        faultRate = 0;
+        cuts.clear();
+        for (String address : members) {
+            if (hosts.get(address) == null) {
+                startHost(address);
+            }
+        }
+        for (int round = 0; round < 4; round++) {
+            hosts.values().forEach(LedgerHost::tick);
+        }
+    }
+
+    boolean serving() {
+        return hosts.values().stream().allMatch(host -> host.state() == LedgerHost.State.SERVING);
+    }
+
+    List<IdempotencyKey> keys() {
+        return List.copyOf(keys);
+    }
+
+    private Path newFolder() {
+        if (root == null) {
+            throw new IllegalStateException("There is no root folder");
+        }
+        return root.resolve("disk" + folderCount++);
+    }
+
+    private <T> T pick(List<T> list) {
+        return list.get(random.nextInt(list.size()));
+    }
+
+    @Override
+    public void close() {
+        List.copyOf(hosts.keySet()).forEach(this::stopHost);
+    }
+}
