--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/ledger/HostRecovery.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/ledger/HostRecovery.java
@@ -18,6 +18,8 @@
     private final LedgerHost host;
     private final LedgerPeers peers;
     private final Clock clock;
+    // Attempts follow each other quickly, so that only a change of the situation is logged.
+    private String lastProblem = "";
 
     HostRecovery(LedgerHost host, LedgerPeers peers, Clock clock) {
         this.host = host;
@@ -61,7 +63,7 @@
         }
         int needed = host.otherMembers().size() + 2 - host.majority();
         if (serving.size() < needed) {
-            LOG.warn("[ledger] {} recovers: {} of {} needed members serve", host.address(), serving.size(), needed);
+            report(serving.size() + " of " + needed + " needed members serve");
             return false;
         }
         return copy(serving, needed, new Life(knownLife + 1, host.boot()), timeoutMs);
@@ -99,7 +101,7 @@
         }
         Formation formation = copied.formation;
         if (copied.members < needed || formation == null) {
-            LOG.warn("[ledger] {} copied {} of {} needed members", host.address(), copied.members, needed);
+            report(copied.members + " of " + needed + " needed members could be copied");
             return false;
         }
         List<LedgerRecord.Entry> entries = new ArrayList<>();
@@ -110,6 +112,13 @@
         return host.serve(life, formation, entries, lives);
     }
 
+    private void report(String problem) {
+        if (!problem.equals(lastProblem)) {
+            lastProblem = problem;
+            LOG.warn("[ledger] {} answers nothing yet: {}", host.address(), problem);
+        }
+    }
+
     private void copyFrom(String address, Life life, long timeoutMs, Copied copied) {
         String afterKey = "";
         while (true) {
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/ledger/LedgerHost.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/ledger/LedgerHost.java
@@ -2,6 +2,7 @@
 
 import io.vavr.control.Either;
 import java.io.IOException;
+import java.time.Instant;
 import java.util.List;
 import java.util.concurrent.Executor;
 import java.util.concurrent.Executors;
@@ -284,7 +285,11 @@
         } finally {
             lock.unlock();
         }
-        LOG.info("[ledger] {} serves with {} copied claims, complete from {}", address, copied.size(), formation);
+        LOG.info(
+                "[ledger] {} serves with {} copied keys; claims are complete from {}",
+                address,
+                copied.size(),
+                Instant.ofEpochMilli(formation.completeFromMs()));
         return true;
     }
 
