--- a/sequoianotch-daemon/src/test/java/org/sequoianotch/daemon/ledger/LedgerHostTest.java
+++ b/sequoianotch-daemon/src/test/java/org/sequoianotch/daemon/ledger/LedgerHostTest.java
@@ -52,6 +52,33 @@
         }
     }
 
+    @Test
+    void copyOfSeveralPagesLosesNoClaim() {
+        try (LedgerWorld world = new LedgerWorld(1, 3, null, false)) {
+            LedgerClient client = world.client("node0", null);
+            KeptAnswer answer = KeptAnswer.of(200, List.of(), new byte[60_000]);
+            List<IdempotencyKey> keys = new ArrayList<>();
+            for (int i = 0; i < 10; i++) {
+                keys.add(world.newKey(true));
+                ClaimResult result = client.claim(keys.get(i), REQUEST, 1_000);
+                assertThat(((ClaimResult.Granted) result).claim().complete(answer, 1_000))
+                        .isTrue();
+            }
+            world.stopHost("host0");
+            world.heal();
+
+            assertThat(world.hosts.get("host0").claimCount()).isEqualTo(10);
+            for (IdempotencyKey key : keys) {
+                LedgerReply reply = world.hosts
+                        .get("host0")
+                        .handle(new LedgerMessage.Lookup(key.text()))
+                        .get();
+                assertThat(((LedgerReply.Held) reply).holders().getFirst().answer())
+                        .isEqualTo(answer);
+            }
+        }
+    }
+
     @Test
     void grantFromBeforeALossIsNotCombinedWithALaterGrant() {
         try (LedgerWorld world = new LedgerWorld(1, 3, null, false)) {
