Make the trials of the concurrency limit reliable, and test each decision

The latency of an instance in another region that was not called lately is now estimated from the lowest average seen, not from the present one, which is high just when it matters.

--- a/sequoianotch-policy/src/main/java/org/sequoianotch/policy/admission/ConcurrencyLimit.java
+++ b/sequoianotch-policy/src/main/java/org/sequoianotch/policy/admission/ConcurrencyLimit.java
@@ -20,7 +20,11 @@
     private static final int FEWEST_SAMPLES = 8;
     private static final int MOST_SAMPLES = 50;
     /** Averages of fewer samples are too noisy to compare two rates that differ by the fall factor. */
-    private static final int TRIAL_SAMPLES = 30;
+    private static final int FEWEST_TRIAL_SAMPLES = 30;
+
+    private static final double TRIAL_SAMPLES_PER_SLOT = 3;
+    /** Part of the fall of the limit by which the rate may fall; less than half, since a needless fall does harm. */
+    private static final double TOLERATED_LOSS = 0.3;
     /** The baseline is a minimum, so it must not follow the noise of short windows. */
     private static final int BASELINE_SAMPLES = 100;
 
@@ -33,11 +37,12 @@
     private static final double OVERLOAD_SHARE = 0.1;
     private static final double LATENCY_USE = 0.8;
     private static final double OVERLOAD_USE = 0.5;
-    private static final double FALL_FACTOR = 0.7;
+    private static final double FALL_FACTOR = 0.6;
     private static final double RISE_FACTOR = 1.25;
     /** The limit falls to this share of the cap at most, so that it can return to the cap within 2 s. */
     private static final int FLOOR_DIVISOR = 8;
 
+    private static final double LONGEST_SETTLE_MS = 2_000;
     private static final double FIRST_HOLD_MS = 1_000;
     private static final double LONGEST_HOLD_MS = 8_000;
     /** Lets the baseline follow a lasting change: it doubles in about 140 s. */
@@ -63,14 +68,13 @@
     private double baselineSumMs;
 
     private double windowStartMs;
-    private double countFromMs = Double.NEGATIVE_INFINITY;
     private int answered;
     private int overloads;
     private double latencySumMs;
-    private long inFlightSum;
     private int peakInFlight;
 
     private double referenceLimit;
+    private double provenLimit;
     private double referenceRate;
     private double holdMs;
     private double holdUntilMs = Double.NEGATIVE_INFINITY;
@@ -94,8 +98,8 @@
     }
 
     /** Takes in one call that ended. Results that say nothing about the load are ignored. */
-    void onEnd(double admittedAtMs, double nowMs, CallResult result, double latencyMs, int inFlight) {
-        if (result == CallResult.CANCELLED || result == CallResult.FAILED || admittedAtMs < countFromMs) {
+    void onEnd(double nowMs, CallResult result, double latencyMs, int inFlight) {
+        if (result == CallResult.CANCELLED || result == CallResult.FAILED || nowMs < windowStartMs) {
             return;
         }
         if (result.isSignOfOverload()) {
@@ -105,7 +109,6 @@
             latencySumMs += latencyMs;
             addToBaseline(latencyMs, nowMs);
         }
-        inFlightSum += inFlight;
         peakInFlight = Math.max(peakInFlight, inFlight);
         double elapsedMs = nowMs - windowStartMs;
         boolean enough = elapsedMs >= WINDOW_MS && samples() >= samplesNeeded();
@@ -119,7 +122,9 @@
     }
 
     private int samplesNeeded() {
-        return phase == Phase.STEADY ? Math.clamp((long) limit, FEWEST_SAMPLES, MOST_SAMPLES) : TRIAL_SAMPLES;
+        return phase == Phase.STEADY
+                ? Math.clamp((long) limit, FEWEST_SAMPLES, MOST_SAMPLES)
+                : (int) Math.max(FEWEST_TRIAL_SAMPLES, TRIAL_SAMPLES_PER_SLOT * limit);
     }
 
     private void addToBaseline(double latencyMs, double nowMs) {
@@ -143,13 +148,16 @@
             rise(use);
         } else if (phase == Phase.TRIAL) {
             endTrial(nowMs);
-        } else if (nowMs < holdUntilMs) {
-            limit = use >= LATENCY_USE ? Math.min(cap, limit + 1) : limit;
-        } else if (limit > floor && (slow && use >= LATENCY_USE || overloaded && use >= OVERLOAD_USE)) {
+            return;
+        } else if (nowMs >= holdUntilMs
+                && limit > floor
+                && (slow && use >= LATENCY_USE || overloaded && use >= OVERLOAD_USE)) {
             if (phase == Phase.MEASURING || overloaded) {
                 referenceLimit = limit;
-                referenceRate = answerRate();
+                provenLimit = limit;
+                referenceRate = answerRate(nowMs);
                 lower(nowMs);
+                return;
             } else {
                 phase = Phase.MEASURING;
             }
@@ -176,29 +184,30 @@
     private void lower(double nowMs) {
         phase = Phase.TRIAL;
         limit = Math.max(floor, limit * FALL_FACTOR);
-        // Calls that started under the higher limit say nothing about the lower one.
-        countFromMs = nowMs;
+        // Most of the calls that started under the higher limit have ended after twice the average latency.
+        double settleMs = answered == 0 ? WINDOW_MS : Math.min(LONGEST_SETTLE_MS, 2 * averageMs());
+        startWindow(nowMs + settleMs);
     }
 
     private void endTrial(double nowMs) {
         double ratio = limit / referenceLimit;
         phase = Phase.STEADY;
-        if (answerRate() < referenceRate * (1 + ratio) / 2) {
-            limit = referenceLimit;
+        if (answerRate(nowMs) < referenceRate * (1 - TOLERATED_LOSS * (1 - ratio))) {
+            limit = provenLimit;
             holdMs = Math.clamp(2 * holdMs, FIRST_HOLD_MS, LONGEST_HOLD_MS);
             holdUntilMs = nowMs + holdMs;
+            startWindow(nowMs);
         } else if (limit > floor) {
+            provenLimit = limit;
             lower(nowMs);
+        } else {
+            startWindow(nowMs);
         }
     }
 
-    /** Answers per millisecond by Little's law, which is less noisy over a short window than counting them. */
-    private double answerRate() {
-        if (answered == 0) {
-            return 0;
-        }
-        double inFlight = (double) inFlightSum / samples();
-        return inFlight / averageMs() * answered / samples();
+    /** Answers per millisecond. They are counted, as the latency of the first calls of a window is biased. */
+    private double answerRate(double nowMs) {
+        return answered / Math.max(1, nowMs - windowStartMs);
     }
 
     private double averageMs() {
@@ -210,7 +219,6 @@
         answered = 0;
         overloads = 0;
         latencySumMs = 0;
-        inFlightSum = 0;
         peakInFlight = 0;
     }
 }
--- a/sequoianotch-policy/src/main/java/org/sequoianotch/policy/admission/ProtectiveAdmission.java
+++ b/sequoianotch-policy/src/main/java/org/sequoianotch/policy/admission/ProtectiveAdmission.java
@@ -90,7 +90,7 @@
         List<Runnable> decisions = new ArrayList<>();
         synchronized (this) {
             double nowMs = clock.monotonicMs();
-            limit.onEnd(admittedAtMs, nowMs, result, latencyMs, inFlight);
+            limit.onEnd(nowMs, result, latencyMs, inFlight);
             wastedCallLevel.onEnd(call.request().criticality(), admittedAtMs, result);
             inFlight--;
             advance(nowMs, decisions);
--- a/sequoianotch-policy/src/main/java/org/sequoianotch/policy/routing/InstanceStats.java
+++ b/sequoianotch-policy/src/main/java/org/sequoianotch/policy/routing/InstanceStats.java
@@ -20,6 +20,9 @@
     /** Time over which the average of an instance without calls halves, so that it is tried again. */
     private static final double IDLE_HALF_LIFE_MS = 1_000;
 
+    /** The average of fewer samples is too noisy for a minimum. */
+    private static final int SAMPLES_FOR_LOWEST = 10;
+
     private static final double FRESH_LOAD_MS = 1_000;
     private static final double STALE_LATENCY_MS = 10_000;
 
@@ -31,9 +34,12 @@
     private final double firstSeenMs;
     private int inFlight;
     private double latencyMs;
+    private double lowestLatencyMs = Double.POSITIVE_INFINITY;
+    private long samples;
     private double sampledAtMs = Double.NEGATIVE_INFINITY;
     private int consecutiveFaults;
     private boolean ejected;
+    private boolean probing;
     private double ejectionMs;
     private double ejectedUntilMs;
     private @Nullable LoadReport load;
@@ -75,13 +81,14 @@
     private void onFault(double nowMs) {
         consecutiveFaults++;
         // Calls that were in flight when the instance was ejected say nothing new.
-        if (consecutiveFaults >= FAULTS_BEFORE_EJECTION && (!ejected || nowMs >= ejectedUntilMs - ejectionMs / 2)) {
+        if (consecutiveFaults >= FAULTS_BEFORE_EJECTION && (!ejected || probing)) {
             eject(nowMs);
         }
     }
 
     private void eject(double nowMs) {
         ejected = true;
+        probing = false;
         ejectionMs = Math.clamp(2 * ejectionMs, FIRST_EJECTION_MS, LONGEST_EJECTION_MS);
         ejectedUntilMs = nowMs + ejectionMs;
     }
@@ -91,6 +98,10 @@
         double weight = Math.max(lowestWeight, 1 - Math.exp(-sinceMs / AVERAGING_MS));
         latencyMs += weight * (sampleMs - latencyMs);
         sampledAtMs = nowMs;
+        samples++;
+        if (samples >= SAMPLES_FOR_LOWEST) {
+            lowestLatencyMs = Math.min(lowestLatencyMs, latencyMs);
+        }
     }
 
     boolean isEjected() {
@@ -103,6 +114,7 @@
 
     /** Puts the next probe off, so that one probe at a time is under way. */
     void startProbe(double nowMs) {
+        probing = true;
         ejectedUntilMs = nowMs + ejectionMs;
     }
 
@@ -130,6 +142,11 @@
         return latencyMs * Math.pow(0.5, (nowMs - sampledAtMs) / IDLE_HALF_LIFE_MS);
     }
 
+    /** Returns the lowest average that was seen, or infinity if there were few samples. */
+    double lowestLatencyMs() {
+        return lowestLatencyMs;
+    }
+
     double unfadedLatencyMs() {
         return latencyMs;
     }
--- a/sequoianotch-policy/src/main/java/org/sequoianotch/policy/routing/ProtectiveSelector.java
+++ b/sequoianotch-policy/src/main/java/org/sequoianotch/policy/routing/ProtectiveSelector.java
@@ -162,7 +162,7 @@
         double hereMs = here.stats().latencyMs(nowMs) + refusalCostMs(request.criticality(), here, nowMs);
         double thereMs = there.stats().hasRecentLatency(nowMs)
                 ? there.stats().unfadedLatencyMs()
-                : lowestHomeLatencyMs(nowMs) + CROSS_REGION_ROUND_TRIP_MS;
+                : lowestLatencyMs() + CROSS_REGION_ROUND_TRIP_MS;
         double savedMs = hereMs - thereMs - refusalCostMs(request.criticality(), there, nowMs);
         double priceMs = crossRegionPriceMsPerKib * (request.bodyBytes() / BYTES_PER_KIB);
         return savedMs > priceMs + LEAST_SAVING_MS;
@@ -172,13 +172,12 @@
         return REFUSAL_MS * (1 - candidate.stats().admittedFraction(criticality, nowMs));
     }
 
-    /** Estimates what the service takes by itself, as the lowest average of all instances. */
-    private double lowestHomeLatencyMs(double nowMs) {
+    /** Estimates what the service takes by itself, as the lowest average that was seen of any instance. */
+    private double lowestLatencyMs() {
         return statsByHost.values().stream()
-                .filter(InstanceStats::hasLatency)
-                .mapToDouble(stats -> stats.latencyMs(nowMs))
+                .mapToDouble(InstanceStats::lowestLatencyMs)
                 .min()
-                .orElse(0);
+                .orElse(Double.POSITIVE_INFINITY);
     }
 
     /** Takes the better of two random candidates. */
--- /dev/null
+++ b/sequoianotch-policy/src/test/java/org/sequoianotch/policy/admission/ProtectiveAdmissionTest.java
@@ -0,0 +1,152 @@
+package org.sequoianotch.policy.admission;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.atomic.AtomicInteger;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+import org.sequoianotch.error.ErrorKind;
+import org.sequoianotch.error.Failure;
+import org.sequoianotch.model.Criticality;
+import org.sequoianotch.model.RequestId;
+import org.sequoianotch.model.ServiceName;
+import org.sequoianotch.policy.PolicyMode;
+import org.sequoianotch.template.ServiceRule;
+import org.sequoianotch.time.Clock;
+import org.sequoianotch.time.ManualClock;
+import org.sequoianotch.time.SystemClock;
+
+/** Guards against calls that run in the wrong order, too late, or although they were refused. */
+final class ProtectiveAdmissionTest {
+    private final ManualClock clock = ManualClock.startingAt(0);
+    private final AdmissionControl admission = admission(1, 3, 100, clock);
+    private final List<String> started = new ArrayList<>();
+    private final List<String> refused = new ArrayList<>();
+
+    @Test
+    void importantCallsStartFirst() {
+        Permit permit = admit();
+        submit("lookup", Criticality.STANDARD, 0, 500);
+        submit("deep lookup", Criticality.STANDARD, 4, 500);
+        submit("booking", Criticality.CRITICAL, 0, 900);
+        permit.release(CallResult.ANSWERED, 1);
+        assertThat(started).containsExactly("booking");
+        assertThat(refused).isEmpty();
+    }
+
+    @Test
+    void fullQueueRefusesTheLeastImportantCallAndNotTheNewest() {
+        admit();
+        submit("gallery", Criticality.SHEDDABLE, 0, 500);
+        submit("late lookup", Criticality.STANDARD, 0, 900);
+        submit("lookup", Criticality.STANDARD, 0, 500);
+        submit("booking", Criticality.CRITICAL, 0, 500);
+        submit("fee", Criticality.CRITICAL, 0, 500);
+        assertThat(refused)
+                .containsExactly("gallery overloaded", "late lookup overloaded")
+                .inOrder();
+    }
+
+    @Test
+    void expiredCallsAreDroppedBeforeTheyRun() {
+        Permit permit = admit();
+        submit("short deadline", Criticality.CRITICAL, 0, 50);
+        submit("long deadline", Criticality.STANDARD, 0, 500);
+        clock.advance(60);
+        permit.release(CallResult.ANSWERED, 60);
+        assertThat(started).containsExactly("long deadline");
+        assertThat(refused).containsExactly("short deadline deadline_before_run");
+        submit("queued too long", Criticality.CRITICAL, 0, 500);
+        clock.advance(101);
+        admission.load();
+        assertThat(refused).contains("queued too long overloaded");
+    }
+
+    @Test
+    void cancelledCallLeavesAtOnceAndNeverRuns() {
+        Permit permit = admit();
+        AdmissionTicket ticket = submit("gone", Criticality.CRITICAL, 0, 500);
+        ticket.cancel();
+        assertThat(admission.load().queued()).isEqualTo(0);
+        assertThat(ticket.await().getLeft().provesNotRun()).isTrue();
+        permit.release(CallResult.ANSWERED, 1);
+        permit.release(CallResult.ANSWERED, 1);
+        assertThat(started).isEmpty();
+        assertThat(admission.load().inFlight()).isEqualTo(0);
+    }
+
+    /** Guards against lost wake-ups and against more calls in flight than slots when threads race. */
+    @Property(seed = "20261204", tries = 5)
+    void waitingThreadsAreAllDecided(@ForAll long seed) {
+        for (PolicyMode mode : PolicyMode.values()) {
+            ServiceRule rule = new ServiceRule(ServiceName.of("jury"), 10, 20, 20, 10, 0);
+            AdmissionControl control = mode.newAdmission(rule, 4, SystemClock.INSTANCE);
+            AtomicInteger inFlight = new AtomicInteger();
+            AtomicInteger most = new AtomicInteger();
+            AtomicInteger decided = new AtomicInteger();
+            try (ExecutorService threads = Executors.newVirtualThreadPerTaskExecutor()) {
+                for (int i = 0; i < 200; i++) {
+                    Random random = new Random(seed + i);
+                    threads.execute(() -> {
+                        AdmissionTicket ticket = control.submit(request(
+                                Criticality.values()[random.nextInt(3)],
+                                0,
+                                SystemClock.INSTANCE.monotonicMs() + 10 + random.nextInt(1_000)));
+                        if (random.nextInt(10) == 0) {
+                            ticket.cancel();
+                        }
+                        Either<Failure, Permit> decision = ticket.await();
+                        decided.incrementAndGet();
+                        decision.forEach(permit -> {
+                            most.accumulateAndGet(inFlight.incrementAndGet(), Math::max);
+                            Thread.yield();
+                            inFlight.decrementAndGet();
+                            permit.release(CallResult.ANSWERED, 1);
+                        });
+                    });
+                }
+            }
+            assertThat(decided.get()).isEqualTo(200);
+            assertThat(most.get()).isAtMost(4);
+            assertThat(control.load().inFlight()).isEqualTo(0);
+            assertThat(control.load().queued()).isEqualTo(0);
+        }
+    }
+
+    private Permit admit() {
+        return admission
+                .submit(request(Criticality.STANDARD, 0, 10_000))
+                .await()
+                .get();
+    }
+
+    private AdmissionTicket submit(String name, Criticality criticality, int depth, double deadlineAtMs) {
+        AdmissionTicket ticket = admission.submit(request(criticality, depth, deadlineAtMs));
+        ticket.whenDecided(decision -> {
+            if (decision.isRight()) {
+                started.add(name);
+            } else {
+                ErrorKind kind = decision.getLeft().kind();
+                assertThat(kind.provesNotRun()).isTrue();
+                refused.add(name + " " + kind.code());
+            }
+        });
+        return ticket;
+    }
+
+    private static AdmissionRequest request(Criticality criticality, int depth, double deadlineAtMs) {
+        return new AdmissionRequest(new RequestId(1, 1), criticality, depth, deadlineAtMs);
+    }
+
+    private static AdmissionControl admission(int slots, int queueLength, long queueTimeMs, Clock clock) {
+        ServiceRule rule = new ServiceRule(ServiceName.of("jury"), 10, queueLength, queueTimeMs, 10, 0);
+        return PolicyMode.PROTECTIVE.newAdmission(rule, slots, clock);
+    }
+}
--- /dev/null
+++ b/sequoianotch-policy/src/test/java/org/sequoianotch/policy/admission/ProtectiveEntryGateTest.java
@@ -0,0 +1,71 @@
+package org.sequoianotch.policy.admission;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import org.sequoianotch.model.BackendState;
+import org.sequoianotch.model.Criticality;
+import org.sequoianotch.model.DataCentre;
+import org.sequoianotch.model.HostId;
+import org.sequoianotch.model.Instance;
+import org.sequoianotch.model.LoadReport;
+import org.sequoianotch.model.Region;
+import org.sequoianotch.model.ServiceName;
+import org.sequoianotch.policy.PolicyMode;
+import org.sequoianotch.time.ManualClock;
+
+/** Guards against shedding in the wrong order, and against refusals that go on after the overload has ended. */
+final class ProtectiveEntryGateTest {
+    private static final HostId HOST = HostId.of("host-1");
+    private static final List<Instance> INSTANCES = List.of(new Instance(
+            ServiceName.of("vitrine"),
+            HOST,
+            DataCentre.of("brest"),
+            Region.of("west"),
+            "127.0.0.1:1",
+            10,
+            BackendState.SERVING,
+            0));
+
+    private final ManualClock clock = ManualClock.startingAt(0);
+    private final EntryGate gate = PolicyMode.PROTECTIVE.newEntryGate(clock, new Random(1));
+
+    @Test
+    void admitsTheReportedFractionInTheOrderOfCriticality() {
+        gate.observe(HOST, new LoadReport(10, 10, 5, 1.3));
+        assertThat(admitted(Criticality.CRITICAL, 1_000)).isEqualTo(1_000);
+        assertThat(admitted(Criticality.STANDARD, 1_000) / 1_000.0)
+                .isWithin(0.05)
+                .of(0.3);
+        assertThat(admitted(Criticality.SHEDDABLE, 1_000)).isEqualTo(0);
+    }
+
+    @Test
+    void expiredLevelLetsProbesThroughUntilANewReportArrives() {
+        gate.observe(HOST, new LoadReport(10, 10, 5, 1.0));
+        clock.advance(1_000);
+        assertThat(admitted(Criticality.CRITICAL, 100)).isEqualTo(100);
+        assertThat(admitted(Criticality.SHEDDABLE, 100)).isEqualTo(1);
+        clock.advance(100);
+        assertThat(admitted(Criticality.STANDARD, 100)).isEqualTo(1);
+        gate.observe(HOST, new LoadReport(1, 10, 0, 3.0));
+        assertThat(admitted(Criticality.SHEDDABLE, 100)).isEqualTo(100);
+    }
+
+    @Test
+    void forgetsALevelThatNothingRefreshes() {
+        gate.observe(HOST, new LoadReport(10, 10, 5, 0.1));
+        clock.advance(3_000);
+        assertThat(admitted(Criticality.SHEDDABLE, 100)).isEqualTo(100);
+    }
+
+    private int admitted(Criticality criticality, int calls) {
+        int admitted = 0;
+        for (int i = 0; i < calls; i++) {
+            admitted += gate.check(criticality, INSTANCES).isEmpty() ? 1 : 0;
+        }
+        return admitted;
+    }
+}
--- /dev/null
+++ b/sequoianotch-policy/src/test/java/org/sequoianotch/policy/retry/RetryBoundTest.java
@@ -0,0 +1,138 @@
+package org.sequoianotch.policy.retry;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.sequoianotch.error.ErrorKind;
+import org.sequoianotch.error.Failure;
+import org.sequoianotch.model.ServiceName;
+import org.sequoianotch.policy.PolicyMode;
+import org.sequoianotch.template.RepeatRule;
+import org.sequoianotch.template.ServiceRule;
+import org.sequoianotch.time.ManualClock;
+
+/** Guards against retries that multiply over a chain, and against allowance that is created or lost on the way. */
+final class RetryBoundTest {
+    private static final int DEPTH = 7;
+    private static final int FAN_OUT = 2;
+    private static final ServiceRule RULE = new ServiceRule(ServiceName.of("caisse"), 10, 10, 100, 100, 0);
+
+    @Property(seed = "20261204", tries = 300)
+    void retriesOverAChainNeverExceedTheAllowance(
+            @ForAll long seed, @ForAll @IntRange(max = 12) int allowed, @ForAll @IntRange(max = 100) int failPercent) {
+        Chain chain = new Chain(PolicyMode.PROTECTIVE, seed, failPercent);
+        RetryAllowance allowance = RetryAllowance.of(allowed);
+        chain.call(0, allowance);
+        assertThat(chain.retries).isAtMost(allowed);
+        assertThat(chain.retries + chain.lost + allowance.close()).isEqualTo(allowed);
+    }
+
+    @Test
+    void naiveRetriesMultiply() {
+        Chain chain = new Chain(PolicyMode.NAIVE, 1, 50);
+        chain.call(0, RetryAllowance.of(3));
+        assertThat(chain.retries).isGreaterThan(3);
+    }
+
+    @ParameterizedTest
+    @EnumSource(ErrorKind.class)
+    void callsThatMayHaveRunAreOnlyRepeatedOnSafeRoutes(ErrorKind kind) {
+        for (RepeatRule rule : RepeatRule.values()) {
+            boolean granted = policy().mayRetry(question(kind, rule, 100), RetryAllowance.of(1));
+            if (!kind.provesNotRun() && rule != RepeatRule.SAFE) {
+                assertThat(granted).isFalse();
+            }
+            if (kind == ErrorKind.OVERLOADED || kind == ErrorKind.DRAINING) {
+                assertThat(granted).isTrue();
+            }
+            if (kind.name().startsWith("KEY_") || kind == ErrorKind.BAD_REQUEST || kind == ErrorKind.UNKNOWN_SERVICE) {
+                assertThat(granted).isFalse();
+            }
+        }
+    }
+
+    /** Guards against a retry storm of many requests that each stay within their allowance. */
+    @Test
+    void budgetBoundsTheRetriesOfManyRequests() {
+        ServiceRule rule = new ServiceRule(ServiceName.of("caisse"), 10, 10, 100, 10, 0);
+        RetryPolicy policy = PolicyMode.PROTECTIVE.newRetryPolicy(rule, ManualClock.startingAt(0));
+        RetryAllowance unused = RetryAllowance.of(3);
+        int retries = 0;
+        for (int i = 0; i < 1_000; i++) {
+            policy.onFirstAttempt();
+            RetryAllowance allowance = RetryAllowance.of(3);
+            while (policy.mayRetry(question(ErrorKind.OVERLOADED, RepeatRule.SAFE, 100), allowance)) {
+                retries++;
+            }
+        }
+        assertThat(retries).isAtMost(100 + 10);
+        assertThat(policy.mayRetry(question(ErrorKind.OVERLOADED, RepeatRule.SAFE, 100), unused))
+                .isFalse();
+        assertThat(unused.remaining()).isEqualTo(3);
+    }
+
+    @Test
+    void nothingIsRepeatedAfterTheDeadline() {
+        assertThat(policy().mayRetry(question(ErrorKind.OVERLOADED, RepeatRule.SAFE, 0), RetryAllowance.of(1)))
+                .isFalse();
+    }
+
+    private static RetryPolicy policy() {
+        return PolicyMode.PROTECTIVE.newRetryPolicy(RULE, ManualClock.startingAt(0));
+    }
+
+    private static RetryQuestion question(ErrorKind kind, RepeatRule rule, double timeLeftMs) {
+        return new RetryQuestion(Failure.of(kind, ""), rule, 1, timeLeftMs);
+    }
+
+    /** A chain in which each instance calls the next service twice and any answer may be lost. */
+    private static final class Chain {
+        private final PolicyMode mode;
+        private final Random random;
+        private final int failPercent;
+        private int retries;
+        private int lost;
+
+        Chain(PolicyMode mode, long seed, int failPercent) {
+            this.mode = mode;
+            this.random = new Random(seed);
+            this.failPercent = failPercent;
+        }
+
+        boolean call(int depth, RetryAllowance allowance) {
+            RetryPolicy policy = mode.newRetryPolicy(RULE, ManualClock.startingAt(0));
+            for (int attempts = 1; ; attempts++) {
+                if (attempt(depth, allowance)) {
+                    return true;
+                }
+                RetryQuestion question =
+                        new RetryQuestion(Failure.of(ErrorKind.CONNECTION_LOST, ""), RepeatRule.SAFE, attempts, 1_000);
+                if (!policy.mayRetry(question, allowance)) {
+                    return false;
+                }
+                retries++;
+            }
+        }
+
+        private boolean attempt(int depth, RetryAllowance allowance) {
+            RetryAllowance share = RetryAllowance.of(allowance.takeShare());
+            boolean successful = true;
+            for (int i = 0; i < FAN_OUT && depth + 1 < DEPTH && successful; i++) {
+                successful = call(depth + 1, share);
+            }
+            int rest = share.close();
+            if (random.nextInt(100) < failPercent) {
+                lost += rest;
+                return false;
+            }
+            allowance.giveBack(rest);
+            return successful;
+        }
+    }
+}
--- /dev/null
+++ b/sequoianotch-policy/src/test/java/org/sequoianotch/policy/routing/ProtectiveSelectorTest.java
@@ -0,0 +1,181 @@
+package org.sequoianotch.policy.routing;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+import org.sequoianotch.model.BackendState;
+import org.sequoianotch.model.Criticality;
+import org.sequoianotch.model.DataCentre;
+import org.sequoianotch.model.HostId;
+import org.sequoianotch.model.Instance;
+import org.sequoianotch.model.LoadReport;
+import org.sequoianotch.model.Region;
+import org.sequoianotch.model.ServiceName;
+import org.sequoianotch.policy.PolicyMode;
+import org.sequoianotch.template.ServiceRule;
+import org.sequoianotch.time.ManualClock;
+
+/** Guards against instances that attract calls that they cannot serve, and against needless traffic over regions. */
+final class ProtectiveSelectorTest {
+    private static final LoadReport IDLE = new LoadReport(0, 10, 0, 3.0);
+    private static final LoadReport FULL = new LoadReport(10, 10, 20, 1.0);
+
+    private long bodyBytes = 1_024;
+    private final ManualClock clock = ManualClock.startingAt(1_000_000);
+    private final List<Instance> instances = new ArrayList<>();
+    private final Map<HostId, Double> latencies = new HashMap<>();
+    private final Map<HostId, LoadReport> loads = new HashMap<>();
+    private final Set<HostId> failing = new HashSet<>();
+    private final Map<HostId, Integer> calls = new HashMap<>();
+
+    @Property(seed = "20261204", tries = 20)
+    void instanceThatFailsFastAttractsNoTraffic(@ForAll long seed) {
+        for (PolicyMode mode : PolicyMode.values()) {
+            reset(6);
+            failing.add(host(0));
+            run(selector(mode, seed, 0), Criticality.STANDARD, 6_000);
+            int toFailing = calls.getOrDefault(host(0), 0);
+            if (mode == PolicyMode.NAIVE) {
+                assertThat(toFailing).isAtLeast(800);
+            } else {
+                // In 60 s: 5 faults until the ejection, then one probe each 1.6 s at most after the first few.
+                assertThat(toFailing).isAtMost(5 + 4 + 60_000 / 1_600);
+            }
+        }
+    }
+
+    @Test
+    void allInstancesAreNeverEjectedAndOneReturnsWithinTwoSeconds() {
+        reset(3);
+        instances.forEach(instance -> failing.add(instance.host()));
+        InstanceSelector selector = selector(PolicyMode.PROTECTIVE, 1, 0);
+        run(selector, Criticality.CRITICAL, 500);
+        assertThat(calls).hasSize(3);
+        failing.clear();
+        run(selector, Criticality.CRITICAL, 200);
+        calls.clear();
+        run(selector, Criticality.CRITICAL, 300);
+        assertThat(calls).hasSize(3);
+    }
+
+    @Test
+    void coldInstanceStartsWithASmallShareThatGrows() {
+        reset(4);
+        Instance cold = instance(4, "brest", "west", clock.nowMs());
+        instances.add(cold);
+        InstanceSelector selector = selector(PolicyMode.PROTECTIVE, 1, 10_000);
+        run(selector, Criticality.STANDARD, 200);
+        int early = calls.getOrDefault(cold.host(), 0);
+        clock.advance(10_000);
+        calls.clear();
+        run(selector, Criticality.STANDARD, 200);
+        assertThat(early).isLessThan(20);
+        assertThat(calls.get(cold.host())).isGreaterThan(20);
+    }
+
+    @Test
+    void slowInstanceGetsFewerCalls() {
+        reset(4);
+        latencies.put(host(0), 200.0);
+        run(selector(PolicyMode.PROTECTIVE, 1, 0), Criticality.STANDARD, 1_000);
+        assertThat(calls.getOrDefault(host(0), 0)).isLessThan(100);
+    }
+
+    @Test
+    void regionTakesWhatTheDataCentreDoesNotAdmit() {
+        reset(2);
+        instances.add(instance(2, "quimper", "west", 0));
+        InstanceSelector selector = selector(PolicyMode.PROTECTIVE, 1, 0);
+        run(selector, Criticality.STANDARD, 100);
+        assertThat(calls).doesNotContainKey(host(2));
+        loads.put(host(0), FULL);
+        loads.put(host(1), FULL);
+        calls.clear();
+        run(selector, Criticality.STANDARD, 100);
+        assertThat(calls.get(host(2))).isGreaterThan(80);
+    }
+
+    @Test
+    void otherRegionIsUsedOnlyIfTheTimeSavedPaysOrNothingElseIsLeft() {
+        reset(1);
+        Instance far = instance(1, "lyon", "south", 0);
+        instances.add(far);
+        latencies.put(far.host(), 60.0);
+        InstanceSelector selector = selector(PolicyMode.PROTECTIVE, 1, 0);
+        run(selector, Criticality.STANDARD, 100);
+        assertThat(calls).doesNotContainKey(far.host());
+        latencies.put(host(0), 500.0);
+        run(selector, Criticality.STANDARD, 100);
+        assertThat(calls.get(far.host())).isGreaterThan(50);
+        calls.clear();
+        bodyBytes = 1_024 * 1_024;
+        run(selector, Criticality.STANDARD, 100);
+        assertThat(calls).doesNotContainKey(far.host());
+        Instance draining = instances.getFirst().withState(BackendState.DRAINING);
+        RoutingRequest large = new RoutingRequest(Criticality.STANDARD, bodyBytes, Set.of());
+        assertThat(selector.select(large, List.of(draining, far))).hasValue(far);
+    }
+
+    @Test
+    void hostsAlreadyTriedAreLeftOut() {
+        reset(1);
+        RoutingRequest retry = new RoutingRequest(Criticality.STANDARD, 0, Set.of(host(0)));
+        assertThat(selector(PolicyMode.PROTECTIVE, 1, 0).select(retry, instances))
+                .isEmpty();
+    }
+
+    private void reset(int count) {
+        instances.clear();
+        calls.clear();
+        failing.clear();
+        for (int i = 0; i < count; i++) {
+            instances.add(instance(i, "brest", "west", 0));
+        }
+    }
+
+    /** Runs calls one after another, each 10 ms. */
+    private void run(InstanceSelector selector, Criticality criticality, int count) {
+        for (int i = 0; i < count; i++) {
+            Instance instance = selector.select(new RoutingRequest(criticality, bodyBytes, Set.of()), instances)
+                    .orElseThrow();
+            calls.merge(instance.host(), 1, Integer::sum);
+            Attempt attempt = selector.start(instance);
+            clock.advance(10);
+            boolean failed = failing.contains(instance.host());
+            attempt.finish(
+                    failed ? AttemptResult.ERRED : AttemptResult.SUCCEEDED,
+                    failed ? 0.5 : latencies.getOrDefault(instance.host(), 20.0),
+                    loads.getOrDefault(instance.host(), IDLE));
+        }
+    }
+
+    private InstanceSelector selector(PolicyMode mode, long seed, long slowStartMs) {
+        ServiceRule rule = new ServiceRule(ServiceName.of("vitrine"), 10, 10, 100, 10, slowStartMs);
+        return mode.newSelector(rule, DataCentre.of("brest"), Region.of("west"), 5, clock, new Random(seed));
+    }
+
+    private static HostId host(int number) {
+        return HostId.of("host-" + number);
+    }
+
+    private static Instance instance(int number, String dataCentre, String region, long startedAtMs) {
+        return new Instance(
+                ServiceName.of("vitrine"),
+                host(number),
+                DataCentre.of(dataCentre),
+                Region.of(region),
+                "127.0.0.1:1",
+                10,
+                BackendState.SERVING,
+                startedAtMs);
+    }
+}
