--- a/sequoianotch-policy/src/main/java/org/sequoianotch/policy/admission/OverloadLevel.java
+++ b/sequoianotch-policy/src/main/java/org/sequoianotch/policy/admission/OverloadLevel.java
@@ -16,7 +16,7 @@
  *
  * <p>A number of slots is kept from standard calls, and twice that number from sheddable calls. It rises with each
  * critical call that is refused or waits for most of the queue time limit, and falls a little with each other critical
- * call, so that it settles where 1.6% of the critical calls come close to being refused.
+ * call and with time, so that no more slots are kept than critical calls need.
  *
  * <p>This class is not thread-safe.
  */
--- a/sequoianotch-policy/src/test/java/org/sequoianotch/policy/admission/ProtectiveAdmissionTest.java
+++ b/sequoianotch-policy/src/test/java/org/sequoianotch/policy/admission/ProtectiveAdmissionTest.java
@@ -19,14 +19,14 @@
 import org.sequoianotch.model.ServiceName;
 import org.sequoianotch.policy.PolicyMode;
 import org.sequoianotch.template.ServiceRule;
-import org.sequoianotch.time.Clock;
 import org.sequoianotch.time.ManualClock;
 import org.sequoianotch.time.SystemClock;
 
 /** Guards against calls that run in the wrong order, too late, or although they were refused. */
 final class ProtectiveAdmissionTest {
     private final ManualClock clock = ManualClock.startingAt(0);
-    private final AdmissionControl admission = admission(1, 3, 100, clock);
+    private final AdmissionControl admission =
+            PolicyMode.PROTECTIVE.newAdmission(new ServiceRule(ServiceName.of("jury"), 10, 3, 100, 10, 0), 1, clock);
     private final List<String> started = new ArrayList<>();
     private final List<String> refused = new ArrayList<>();
 
@@ -144,9 +144,4 @@
     private static AdmissionRequest request(Criticality criticality, int depth, double deadlineAtMs) {
         return new AdmissionRequest(new RequestId(1, 1), criticality, depth, deadlineAtMs);
     }
-
-    private static AdmissionControl admission(int slots, int queueLength, long queueTimeMs, Clock clock) {
-        ServiceRule rule = new ServiceRule(ServiceName.of("jury"), 10, queueLength, queueTimeMs, 10, 0);
-        return PolicyMode.PROTECTIVE.newAdmission(rule, slots, clock);
-    }
 }
--- a/sequoianotch-policy/src/test/java/org/sequoianotch/policy/admission/ProtectiveEntryGateTest.java
+++ b/sequoianotch-policy/src/test/java/org/sequoianotch/policy/admission/ProtectiveEntryGateTest.java
@@ -5,29 +5,18 @@
 import java.util.List;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
-import org.sequoianotch.model.BackendState;
 import org.sequoianotch.model.Criticality;
-import org.sequoianotch.model.DataCentre;
 import org.sequoianotch.model.HostId;
 import org.sequoianotch.model.Instance;
 import org.sequoianotch.model.LoadReport;
-import org.sequoianotch.model.Region;
-import org.sequoianotch.model.ServiceName;
 import org.sequoianotch.policy.PolicyMode;
+import org.sequoianotch.policy.TestInstances;
 import org.sequoianotch.time.ManualClock;
 
 /** Guards against shedding in the wrong order, and against refusals that go on after the overload has ended. */
 final class ProtectiveEntryGateTest {
     private static final HostId HOST = HostId.of("host-1");
-    private static final List<Instance> INSTANCES = List.of(new Instance(
-            ServiceName.of("vitrine"),
-            HOST,
-            DataCentre.of("brest"),
-            Region.of("west"),
-            "127.0.0.1:1",
-            10,
-            BackendState.SERVING,
-            0));
+    private static final List<Instance> INSTANCES = List.of(TestInstances.of("host-1", "brest", "west", 10, 0));
 
     private final ManualClock clock = ManualClock.startingAt(0);
     private final EntryGate gate = PolicyMode.PROTECTIVE.newEntryGate(clock, new Random(1));
--- a/sequoianotch-policy/src/test/java/org/sequoianotch/policy/routing/ProtectiveSelectorTest.java
+++ b/sequoianotch-policy/src/test/java/org/sequoianotch/policy/routing/ProtectiveSelectorTest.java
@@ -21,6 +21,7 @@
 import org.sequoianotch.model.Region;
 import org.sequoianotch.model.ServiceName;
 import org.sequoianotch.policy.PolicyMode;
+import org.sequoianotch.policy.TestInstances;
 import org.sequoianotch.template.ServiceRule;
 import org.sequoianotch.time.ManualClock;
 
@@ -168,14 +169,6 @@
     }
 
     private static Instance instance(int number, String dataCentre, String region, long startedAtMs) {
-        return new Instance(
-                ServiceName.of("vitrine"),
-                host(number),
-                DataCentre.of(dataCentre),
-                Region.of(region),
-                "127.0.0.1:1",
-                10,
-                BackendState.SERVING,
-                startedAtMs);
+        return TestInstances.of("host-" + number, dataCentre, region, 10, startedAtMs);
     }
 }
--- a/sequoianotch-policy/src/test/java/org/sequoianotch/policy/simulation/SimulatedClient.java
+++ b/sequoianotch-policy/src/test/java/org/sequoianotch/policy/simulation/SimulatedClient.java
@@ -23,8 +23,8 @@
 
 /** The calls of one node to one service, decided by the code under test. */
 final class SimulatedClient {
-    static final DataCentre HOME = DataCentre.of("brest");
-    static final Region HOME_REGION = Region.of("west");
+    private static final DataCentre HOME = DataCentre.of("brest");
+    private static final Region REGION = Region.of("west");
 
     private final Simulation simulation;
     private final SimulatedService target;
@@ -37,40 +37,36 @@
         this.target = target;
         Random random = new Random(simulation.random.nextLong());
         this.gate = simulation.mode.newEntryGate(simulation.clock, random);
-        this.selector = simulation.mode.newSelector(target.rule, HOME, HOME_REGION, 5, simulation.clock, random);
+        this.selector = simulation.mode.newSelector(target.rule, HOME, REGION, 5, simulation.clock, random);
         this.retryPolicy = simulation.mode.newRetryPolicy(target.rule, simulation.clock);
     }
 
-    void call(SimulatedRequest request, int depth, RetryAllowance allowance, Consumer<Optional<Failure>> done) {
+    void call(SimulatedRequest.Call call) {
         retryPolicy.onFirstAttempt();
-        new Call(request, depth, allowance, done).attempt();
+        new Attempts(call).next();
     }
 
-    private final class Call {
+    private final class Attempts {
+        private final SimulatedRequest.Call call;
         private final SimulatedRequest request;
-        private final int depth;
-        private final RetryAllowance allowance;
-        private final Consumer<Optional<Failure>> done;
         private final Set<HostId> tried = new HashSet<>();
         private int attempts;
 
-        Call(SimulatedRequest request, int depth, RetryAllowance allowance, Consumer<Optional<Failure>> done) {
-            this.request = request;
-            this.depth = depth;
-            this.allowance = allowance;
-            this.done = done;
+        Attempts(SimulatedRequest.Call call) {
+            this.call = call;
+            this.request = call.request();
         }
 
-        void attempt() {
+        void next() {
             Optional<Failure> refusal = gate.check(request.criticality, target.instances());
             if (refusal.isPresent()) {
-                done.accept(refusal);
+                call.done().accept(refusal);
                 return;
             }
             Optional<Instance> selected =
                     selector.select(new RoutingRequest(request.criticality, 1_024, tried), target.instances());
             if (selected.isEmpty()) {
-                done.accept(Optional.of(Failure.of(ErrorKind.NO_INSTANCE, "")));
+                call.done().accept(Optional.of(Failure.of(ErrorKind.NO_INSTANCE, "")));
                 return;
             }
             Instance instance = selected.get();
@@ -79,29 +75,27 @@
             Attempt attempt = selector.start(instance);
             double startedAtMs = simulation.nowMs();
             SimulatedInstance callee = target.find(instance.host());
-            RetryAllowance share = RetryAllowance.of(allowance.takeShare());
-            simulation.after(
-                    Simulation.NETWORK_MS,
-                    () -> callee.serve(
-                            request,
-                            depth,
-                            share,
-                            failure -> simulation.after(Simulation.NETWORK_MS, () -> {
-                                gate.observe(instance.host(), callee.load());
-                                attempt.finish(result(failure), simulation.nowMs() - startedAtMs, callee.load());
-                                allowance.giveBack(share.close());
-                                onAnswer(failure);
-                            })));
+            RetryAllowance share = RetryAllowance.of(call.allowance().takeShare());
+            Consumer<Optional<Failure>> onArrival = failure -> {
+                gate.observe(instance.host(), callee.load());
+                attempt.finish(result(failure), simulation.nowMs() - startedAtMs, callee.load());
+                call.allowance().giveBack(share.close());
+                onAnswer(failure);
+            };
+            Consumer<Optional<Failure>> onReply =
+                    failure -> simulation.after(Simulation.NETWORK_MS, () -> onArrival.accept(failure));
+            SimulatedRequest.Call sent = new SimulatedRequest.Call(request, call.depth(), share, onReply);
+            simulation.after(Simulation.NETWORK_MS, () -> callee.serve(sent));
         }
 
         private void onAnswer(Optional<Failure> failure) {
             double leftMs = request.deadlineAtMs - simulation.nowMs();
             if (failure.isPresent()
                     && retryPolicy.mayRetry(
-                            new RetryQuestion(failure.get(), RepeatRule.SAFE, attempts, leftMs), allowance)) {
-                attempt();
+                            new RetryQuestion(failure.get(), RepeatRule.SAFE, attempts, leftMs), call.allowance())) {
+                next();
             } else {
-                done.accept(failure);
+                call.done().accept(failure);
             }
         }
     }
--- a/sequoianotch-policy/src/test/java/org/sequoianotch/policy/simulation/SimulatedRequest.java
+++ b/sequoianotch-policy/src/test/java/org/sequoianotch/policy/simulation/SimulatedRequest.java
@@ -2,9 +2,13 @@
 
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
+import org.sequoianotch.error.Failure;
 import org.sequoianotch.model.Criticality;
 import org.sequoianotch.model.RequestId;
+import org.sequoianotch.policy.retry.RetryAllowance;
 
 /** One request from outside with the work that was done for it. */
 final class SimulatedRequest {
@@ -58,4 +62,7 @@
         List.copyOf(onCancel).forEach(Runnable::run);
         onCancel.clear();
     }
+
+    /** One call of a request, which is answered with a failure or nothing. */
+    record Call(SimulatedRequest request, int depth, RetryAllowance allowance, Consumer<Optional<Failure>> done) {}
 }
--- a/sequoianotch-policy/src/test/java/org/sequoianotch/policy/simulation/SimulatedService.java
+++ b/sequoianotch-policy/src/test/java/org/sequoianotch/policy/simulation/SimulatedService.java
@@ -3,10 +3,10 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.jspecify.annotations.Nullable;
-import org.sequoianotch.model.BackendState;
 import org.sequoianotch.model.HostId;
 import org.sequoianotch.model.Instance;
 import org.sequoianotch.model.ServiceName;
+import org.sequoianotch.policy.TestInstances;
 import org.sequoianotch.template.ServiceRule;
 
 /** A service with its instances, all in one data centre. */
@@ -24,15 +24,7 @@
         this.workMs = workMs;
         this.below = below;
         for (int i = 0; i < count; i++) {
-            Instance instance = new Instance(
-                    rule.service(),
-                    HostId.of(name + "-" + i),
-                    SimulatedClient.HOME,
-                    SimulatedClient.HOME_REGION,
-                    "127.0.0.1:1",
-                    slots,
-                    BackendState.SERVING,
-                    0);
+            Instance instance = TestInstances.of(name + "-" + i, "brest", "west", slots, 0);
             members.add(new SimulatedInstance(simulation, this, instance));
         }
         this.instances = members.stream().map(member -> member.instance).toList();
@@ -43,10 +35,8 @@
     }
 
     SimulatedInstance find(HostId host) {
-        return members.stream()
-                .filter(member -> member.instance.host().equals(host))
-                .findFirst()
-                .orElseThrow();
+        return members.get(
+                Integer.parseInt(host.name().substring(rule.service().name().length() + 1)));
     }
 
     double capacityPerMs() {
--- a/sequoianotch-policy/src/test/java/org/sequoianotch/policy/simulation/Simulation.java
+++ b/sequoianotch-policy/src/test/java/org/sequoianotch/policy/simulation/Simulation.java
@@ -30,14 +30,6 @@
         events.add(new Event(nowMs() + delayMs, nextSequence++, action));
     }
 
-    /** Calls the action at the given rate from now until the given time, at even distances. */
-    void repeat(double ratePerMs, double untilMs, Runnable action) {
-        if (nowMs() < untilMs) {
-            action.run();
-            after(1 / ratePerMs, () -> repeat(ratePerMs, untilMs, action));
-        }
-    }
-
     void runUntil(double untilMs) {
         while (!events.isEmpty() && events.peek().atMs() <= untilMs) {
             Event event = events.remove();
--- a/sequoianotch-policy/src/test/java/org/sequoianotch/policy/simulation/Workload.java
+++ b/sequoianotch-policy/src/test/java/org/sequoianotch/policy/simulation/Workload.java
@@ -50,7 +50,8 @@
         SimulatedRequest request = new SimulatedRequest(
                 RequestId.random(simulation.random), user.criticality, simulation.nowMs() + DEADLINE_MS, tally);
         entries.get(simulation.random.nextInt(ENTRY_NODES))
-                .call(request, 0, RetryAllowance.of(3), failure -> onEnd(user, request, failure, repeatsLeft));
+                .call(new SimulatedRequest.Call(
+                        request, 0, RetryAllowance.of(3), failure -> onEnd(user, request, failure, repeatsLeft)));
         simulation.after(DEADLINE_MS, () -> {
             if (onEnd(user, request, Optional.of(TIMEOUT), repeatsLeft) && simulation.mode == PolicyMode.PROTECTIVE) {
                 request.cancel();
