--- a/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/link/PeerCall.java
+++ b/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/link/PeerCall.java
@@ -16,7 +16,8 @@
     /**
      * Sends a part of the body, in chunks within the send window. The array is not copied and must not be changed
      * afterwards. After the peer answered in full, the rest of the body is not sent, and the failure is
-     * {@code body_incomplete}.
+     * {@code body_incomplete}. The wait for the send window has no limit of its own: it ends when the peer reads on,
+     * ends the call or is lost, or when another thread calls {@link #cancel}.
      *
      * @param bytes the part; not null
      * @return nothing, or the failure that kept it from being sent
--- a/sequoianotch-protocol/src/test/java/org/sequoianotch/protocol/FrameCodecTest.java
+++ b/sequoianotch-protocol/src/test/java/org/sequoianotch/protocol/FrameCodecTest.java
@@ -115,6 +115,7 @@
                                 .packInt(9)
                                 .packBinaryHeader(0)),
                         "topic 9"),
+                args(packed(p -> p.packArrayHeader(5).packInt(1).packInt(1).packString("a\nb")), "host \"a?b\" is not"),
                 args(new byte[FrameCodec.MAX_FRAME_BYTES + 1], "is over 262144"));
     }
 
--- a/sequoianotch-protocol/src/test/java/org/sequoianotch/protocol/link/LinkFailureTest.java
+++ b/sequoianotch-protocol/src/test/java/org/sequoianotch/protocol/link/LinkFailureTest.java
@@ -170,15 +170,16 @@
             String address = "127.0.0.1:" + server.getLocalPort();
             Future<Either<Failure, byte[]>> answer = executor.submit(() ->
                     Peers.answerOf(peers.links.open(address, Peers.header("/a")).get()));
-            Future<Either<Failure, byte[]>> reply =
-                    executor.submit(() -> peers.links.ask(address, Topic.CONTROL, new byte[1], Peers.WAIT_MS));
+            Future<Either<Failure, byte[]>> reply;
             try (RawPeer raw = RawPeer.accept(server).challenge(Peers.KEY)) {
                 long callId = raw.receive(Frame.CallStart.class).callId();
+                reply = executor.submit(() -> peers.links.ask(address, Topic.CONTROL, new byte[1], Peers.WAIT_MS));
+                raw.receive(Frame.Ask.class);
                 if (afterHead) {
                     raw.send(new Frame.AnswerStart(callId, Peers.OK));
                     raw.send(new Frame.AnswerBody(callId, new byte[10]));
                 }
-                // The question may have come before the call; a wrong one shows that it was received.
+                // A reply to no question shows that the frames before it were received.
                 raw.send(new Frame.Reply(99, new byte[0]));
                 Peers.await(() -> peers.callerCounters.unknownCallFrames() == 1);
             }
--- a/sequoianotch-protocol/src/test/java/org/sequoianotch/protocol/link/PeerCallTest.java
+++ b/sequoianotch-protocol/src/test/java/org/sequoianotch/protocol/link/PeerCallTest.java
@@ -188,6 +188,21 @@
         }
     }
 
+    /** Guards against an upload that hangs, or an early answer that is lost, when the peer answers without reading. */
+    @Test
+    void earlyAnswerEndsUpload() {
+        CallHandler handler = call -> {
+            call.answer(Peers.OK);
+            call.end(Peers.TRAILER);
+        };
+        try (Peers peers = new Peers(handler)) {
+            PeerCall call = peers.open("/a");
+            assertThat(call.writeBody(new byte[1_000_000]).getLeft().kind()).isEqualTo(ErrorKind.BODY_INCOMPLETE);
+            assertThat(call.endBody().isRight()).isTrue();
+            assertThat(Peers.answerOf(call).get()).isEmpty();
+        }
+    }
+
     /** Guards against a deadline that is reported as proof that nothing ran. */
     @Test
     void missingAnswerIsInDoubt() {
