--- a/sequoianotch-control/src/test/java/org/sequoianotch/control/group/GroupFailureTest.java
+++ b/sequoianotch-control/src/test/java/org/sequoianotch/control/group/GroupFailureTest.java
@@ -4,16 +4,26 @@
 import static org.sequoianotch.control.state.Samples.change;
 
 import io.vavr.control.Either;
+import java.util.List;
+import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.sequoianotch.control.group.GroupMessage.AppendReply;
 import org.sequoianotch.control.group.GroupMessage.Declined;
 import org.sequoianotch.control.group.GroupMessage.VoteReply;
 import org.sequoianotch.control.group.GroupMessage.VoteRequest;
 import org.sequoianotch.control.group.GroupSimulation.Host;
+import org.sequoianotch.control.log.EntryKind;
+import org.sequoianotch.control.log.LogEntry;
+import org.sequoianotch.control.log.MemberStore;
+import org.sequoianotch.control.log.MemoryFolder;
 import org.sequoianotch.control.state.ChangeResult.Accepted;
+import org.sequoianotch.control.state.TemplateState;
 import org.sequoianotch.error.Failure;
+import org.sequoianotch.model.HostId;
+import org.sequoianotch.time.ManualClock;
 
 /** Guards the promises of the group under each single failure that the design page names. */
 final class GroupFailureTest {
@@ -202,4 +212,55 @@
         assertThat(leader.raft.status().role()).isEqualTo(Role.FOLLOWER);
         assertThat(group.change(change("c1", "ana", 1_000, 0))).isEqualTo(new Accepted(1));
     }
+
+    /** A frozen process wakes up after another leader was elected, and must not answer before it looks at the time. */
+    @Test
+    void leaderThatWasFrozenAnswersNothingAsCurrent() {
+        GroupSimulation group = new GroupSimulation(3, 10);
+        Host leader = group.awaitLeader();
+        assertThat(leader.raft.readCurrent(leader.state::revision).isRight()).isTrue();
+
+        group.clock.advance(GroupSimulation.SETTINGS.electionTimeoutMs());
+
+        assertThat(leader.raft.readCurrent(leader.state::revision).isLeft()).isTrue();
+        assertThat(leader.propose(change("c1", "ana", 1_000, 0)).join().isLeft())
+                .isTrue();
+    }
+
+    /** A host that has not caught up would count towards a majority without the entries that this majority stored. */
+    @Test
+    void hostThatHasNotCaughtUpDoesNotBecomeAMember() {
+        GroupSimulation group = new GroupSimulation(3, 11);
+        Host leader = group.awaitLeader();
+        Member newcomer = new Member("host-9.1", HostId.of("host-9"), "0");
+        leader.raft.addLearner(newcomer);
+
+        assertThat(leader.raft.changeMembers(newcomer, "").join().getLeft().detail())
+                .contains("has not caught up");
+    }
+
+    /** An entry of an earlier term on a majority may still be replaced, so it does not count as committed yet. */
+    @Test
+    void entryOfAnEarlierTermIsCommittedOnlyWithOneOfThisTerm() {
+        ManualClock clock = ManualClock.startingAt(0);
+        Member own = new Member("a.1", HostId.of("a"), "a");
+        Member peer = new Member("b.1", HostId.of("b"), "b");
+        MemberSet members = new MemberSet("group", List.of(own, peer, new Member("c.1", HostId.of("c"), "c")));
+        MemberStore store = MemberStore.open(new MemoryFolder(), own.id());
+        store.append(List.of(
+                new LogEntry(1, 0, EntryKind.MEMBERS, members.toBytes()),
+                new LogEntry(2, 1, EntryKind.NO_OP, new byte[0])));
+        store.saveVote(1, "");
+        RaftMember raft = new RaftMember(store, new TemplateState(), GroupSimulation.SETTINGS, clock, new Random(1));
+        clock.advance(1_000);
+        raft.tick();
+        raft.answered(raft.next(peer.id()).orElseThrow(), new VoteReply(1, true));
+        raft.answered(raft.next(peer.id()).orElseThrow(), new VoteReply(2, true));
+        assertThat(raft.status().role()).isEqualTo(Role.LEADER);
+
+        raft.answered(raft.next(peer.id()).orElseThrow(), new AppendReply(2, true, 2));
+        assertThat(raft.status().commitIndex()).isEqualTo(0);
+        raft.answered(raft.next(peer.id()).orElseThrow(), new AppendReply(2, true, 3));
+        assertThat(raft.status().commitIndex()).isEqualTo(3);
+    }
 }
