Take a fall for wasted calls back when it did not help

With a service below down (40% of the calls of every criticality shed whatever their number, trial), the level stayed at 1.0 for good, because the first share was taken from the first few shed calls and critical calls alone cannot show whether a fall helped. A few other calls now remain, and the highest share before the fall counts.

--- a/sequoianotch-policy/src/main/java/org/sequoianotch/policy/admission/WastedCallLevel.java
+++ b/sequoianotch-policy/src/main/java/org/sequoianotch/policy/admission/WastedCallLevel.java
@@ -13,8 +13,8 @@
  * after a fall, so that a lasting overload is approached in small steps, then in steps that grow.
  *
  * <p>A fall does not help if the calls fail for another reason than their number, for example because a service below
- * is down. If calls are shed as before although only critical ones are left, and other calls succeeded before the fall,
- * the level returns to the highest one and stays there for a time that grows with each repetition.
+ * is down. If the few calls below critical that are left near the lowest level are shed as before, and others succeeded
+ * before the fall, the level returns to the highest one and stays there for a time that grows with each repetition.
  *
  * <p>This class is not thread-safe.
  */
@@ -30,8 +30,10 @@
     private static final double FIRST_DAMPING = 0.9;
 
     private static final double HIGH_LEVEL = 2;
-    /** An interval ends early if this many calls are shed in it, which shows the beginning of an overload. */
-    private static final int MANY_SHED_CALLS = 4;
+    /** An interval ends early after this many calls if many were shed, which shows the beginning of an overload. */
+    private static final int EARLY_CALLS = 20;
+
+    private static final double EARLY_SHED_SHARE = 0.2;
     /** Time in which entry nodes learn of a lower level. */
     private static final double SETTLE_MS = 150;
 
@@ -42,15 +44,17 @@
     private static final double SLOW_RISE_MS = 1500;
 
     /** Critical calls are not refused for what happens below; only their own queue does that. */
-    private static final int LOWEST_LEVEL = 1;
-
-    private static final double NEARLY_LOWEST_LEVEL = 1.15;
-    /** A fall has helped if the share that is shed is below this part of what it was. */
-    private static final double IMPROVED = 0.7;
-    /** Intervals at the lowest level after which a fall that did not help is taken back. */
-    private static final int FUTILE_INTERVALS = 5;
-    /** Part of the calls below critical that must have succeeded for a fall to be taken back. */
-    private static final double LOST_BY_FALL = 0.2;
+    private static final int FIRST_LOWERED_CLASS = 1;
+    /** A few other calls remain, to show whether the fall has helped. */
+    private static final double LOWEST_LEVEL = 1.05;
+
+    private static final double NEARLY_LOWEST_LEVEL = 1.12;
+    /** A fall has helped if the share of calls below critical that is shed is below this part of what it was. */
+    private static final double IMPROVED = 0.6;
+    /** Calls below critical near the lowest level that show whether a fall has helped. */
+    private static final int JUDGED_CALLS = 30;
+    /** Share shed of the calls below critical above which a fall loses next to nothing, so it is never taken back. */
+    private static final double LITTLE_LOST_SHARE = 0.75;
 
     private static final double FIRST_HOLD_MS = 2_000;
     private static final double LONGEST_HOLD_MS = 30_000;
@@ -62,9 +66,9 @@
     private double level = LoadReport.ADMIT_ALL;
     private double rise = FIRST_RISE;
 
-    private double shareAtFirstFall;
-    private double lostByFall;
-    private int futileIntervals;
+    private double shareBeforeFall;
+    private int judgedCalls;
+    private int judgedShed;
     private double holdMs;
     private double holdUntilMs = Double.NEGATIVE_INFINITY;
 
@@ -85,16 +89,18 @@
 
     /** Evaluates the calls that ended in an interval. Without calls the level rises. */
     void advance(double nowMs) {
+        int calls = ended[0] + ended[1] + ended[2];
         int shedCalls = shed[0] + shed[1] + shed[2];
-        if (nowMs - intervalStartMs < INTERVAL_MS && (shedCalls < MANY_SHED_CALLS || level <= HIGH_LEVEL)) {
+        double share = (double) shedCalls / Math.max(1, calls);
+        boolean begins = level > HIGH_LEVEL && calls >= EARLY_CALLS && share > EARLY_SHED_SHARE;
+        if (nowMs - intervalStartMs < INTERVAL_MS && !begins) {
             return;
         }
-        int calls = ended[0] + ended[1] + ended[2];
-        double share = calls == 0 ? 0 : (double) shedCalls / calls;
+        judgeFall();
         if (share <= TOLERATED_SHARE / 2) {
             rise(nowMs);
         } else if (share > TOLERATED_SHARE && shedCalls > 1 && nowMs >= holdUntilMs) {
-            fall(share, nowMs);
+            fall(nowMs);
         }
         intervalStartMs = nowMs;
         Arrays.fill(ended, 0);
@@ -102,7 +108,6 @@
     }
 
     private void rise(double nowMs) {
-        futileIntervals = 0;
         level = Math.min(LoadReport.ADMIT_ALL, level + rise);
         if (nowMs >= countFromMs + SLOW_RISE_MS) {
             rise = Math.min(LARGEST_RISE, rise * RISE_GROWTH);
@@ -112,18 +117,22 @@
         }
     }
 
-    private void fall(double share, double nowMs) {
+    private void fall(double nowMs) {
+        int lowerCalls = ended[1] + ended[2];
+        double lowerShare = (double) (shed[1] + shed[2]) / Math.max(1, lowerCalls);
         if (level >= LoadReport.ADMIT_ALL) {
-            shareAtFirstFall = share;
-            lostByFall = 1 - (double) (shed[1] + shed[2]) / Math.max(1, ended[1] + ended[2]);
+            shareBeforeFall = lowerShare;
+        } else if (level > NEARLY_LOWEST_LEVEL && lowerCalls >= EARLY_CALLS) {
+            // The first calls of an overload still succeed, so the highest share counts.
+            shareBeforeFall = Math.max(shareBeforeFall, lowerShare);
         }
-        if (isFutile(share)) {
+        if (isFutile()) {
             level = LoadReport.ADMIT_ALL;
             holdMs = Math.clamp(2 * holdMs, FIRST_HOLD_MS, LONGEST_HOLD_MS);
             holdUntilMs = nowMs + holdMs;
             return;
         }
-        for (int i = LOWEST_LEVEL; i < CLASSES; i++) {
+        for (int i = FIRST_LOWERED_CLASS; i < CLASSES; i++) {
             double shedShare = (double) shed[i] / Math.max(1, ended[i]);
             if (shedShare > SHED_CLASS_SHARE) {
                 double admitted = Math.clamp(level - i, 0.0, 1.0);
@@ -132,13 +141,25 @@
                 break;
             }
         }
+        level = Math.max(LOWEST_LEVEL, level);
         rise = FIRST_RISE;
         countFromMs = nowMs + SETTLE_MS;
     }
 
-    private boolean isFutile(double share) {
-        boolean helped = level > NEARLY_LOWEST_LEVEL || share < IMPROVED * shareAtFirstFall;
-        futileIntervals = helped ? 0 : futileIntervals + 1;
-        return futileIntervals >= FUTILE_INTERVALS && lostByFall > LOST_BY_FALL;
+    private void judgeFall() {
+        if (level > NEARLY_LOWEST_LEVEL || judgedCalls >= JUDGED_CALLS) {
+            judgedCalls = 0;
+            judgedShed = 0;
+        }
+        if (level <= NEARLY_LOWEST_LEVEL) {
+            judgedCalls += ended[1] + ended[2];
+            judgedShed += shed[1] + shed[2];
+        }
+    }
+
+    private boolean isFutile() {
+        return judgedCalls >= JUDGED_CALLS
+                && shareBeforeFall < LITTLE_LOST_SHARE
+                && judgedShed > IMPROVED * shareBeforeFall * judgedCalls;
     }
 }
