Gossip four times as often while more than one datagram of news waits

The drain of a whole data centre of 90 took 4.0 s to reach 630 simulated members, because each node passes on only a few datagrams in each round.

--- a/sequoianotch-membership/src/main/java/org/sequoianotch/membership/DatagramSender.java
+++ b/sequoianotch-membership/src/main/java/org/sequoianotch/membership/DatagramSender.java
@@ -13,6 +13,11 @@
     /** Keeps a storm of changes near the traffic budget of 4 KB/s for each node. */
     private static final double GOSSIP_BYTES_PER_MS = 1.5;
 
+    /** News items beyond which rounds come faster, so that the drain of a whole data centre spreads in time. */
+    private static final int ABOUT_ONE_DATAGRAM = 10;
+
+    private static final double BACKLOG_RATE = 4;
+
     private static final double GOSSIP_BURST_BYTES = 65_536;
     /** Room for news when the allowance is used up: one member, so that the newest change still spreads at once. */
     private static final int REDUCED_NEWS_BYTES = 140;
@@ -108,7 +113,8 @@
         }
         allowanceBytes = Math.min(GOSSIP_BURST_BYTES, allowanceBytes + (nowMs - refilledAtMs) * GOSSIP_BYTES_PER_MS);
         refilledAtMs = nowMs;
-        nextRoundAtMs = nowMs + options.gossipIntervalMs();
+        boolean backlog = table.newsCount() > ABOUT_ONE_DATAGRAM && allowanceBytes >= DatagramCodec.MAX_BYTES;
+        nextRoundAtMs = nowMs + options.gossipIntervalMs() / (backlog ? BACKLOG_RATE : 1.0);
         if (isQuiet()) {
             return;
         }
--- a/sequoianotch-membership/src/main/java/org/sequoianotch/membership/MemberTable.java
+++ b/sequoianotch-membership/src/main/java/org/sequoianotch/membership/MemberTable.java
@@ -330,6 +330,10 @@
                 .toList();
     }
 
+    int newsCount() {
+        return news.size();
+    }
+
     boolean hasNews() {
         return !news.isEmpty();
     }
--- a/sequoianotch-membership/src/main/java/org/sequoianotch/membership/NewsQueue.java
+++ b/sequoianotch-membership/src/main/java/org/sequoianotch/membership/NewsQueue.java
@@ -30,6 +30,10 @@
         return counts.isEmpty();
     }
 
+    int size() {
+        return counts.size();
+    }
+
     /** Adds a host, or starts its count again. */
     void add(HostId host) {
         remove(host);
