--- a/sequoianotch-membership/src/test/java/org/sequoianotch/membership/measure/RealTimeMeasurement.java
+++ b/sequoianotch-membership/src/test/java/org/sequoianotch/membership/measure/RealTimeMeasurement.java
@@ -32,7 +32,7 @@
  */
 public final class RealTimeMeasurement {
     private static final int DATA_CENTRES = 7;
-    private static final long LIMIT_MS = 120_000;
+    private static final long LIMIT_MS = 60_000;
 
     private RealTimeMeasurement() {}
 
@@ -43,6 +43,12 @@
         Map<String, Membership> byAddress = new ConcurrentHashMap<>();
         List<Membership> memberships = start(members, group, byAddress);
         double joinMs = await(memberships, each -> each.view().count(MemberState.ALIVE) == members);
+        if (Double.isInfinite(joinMs)) {
+            memberships.forEach(each -> System.out.println(each.view().count(MemberState.ALIVE) + " alive, "
+                    + each.view().count(MemberState.SUSPECT) + " suspect, "
+                    + each.view().count(MemberState.FAILED) + " failed"));
+            throw new IllegalStateException("The group did not form");
+        }
         Thread.sleep(20_000);
         long cpuStart = cpuNanos();
         Thread.sleep(seconds * 1_000L);
