--- a/sequoianotch-control/src/test/java/org/sequoianotch/control/ControlCapacityTest.java
+++ b/sequoianotch-control/src/test/java/org/sequoianotch/control/ControlCapacityTest.java
@@ -10,7 +10,9 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.sequoianotch.control.state.ChangeRequest;
 import org.sequoianotch.control.state.ChangeResult.Accepted;
+import org.sequoianotch.control.state.Samples;
 import org.sequoianotch.model.HostId;
 
 /**
@@ -48,12 +50,23 @@
             System.out.printf(
                     "Bytes for each change with a template of %d bytes, all members: %d%n",
                     change("c", "ana", 1_000, 0).templateText().length(), changeBytes);
+            long largeBytes = measureLargeChange(hosts, leader);
+            System.out.printf("Bytes for a change with a template of 8,353 bytes, all members: %d%n", largeBytes);
             System.out.printf("Bytes for each heartbeat with its answer: %d%n", idleBytes);
             assertThat(timesMs[COMMITS / 2]).isLessThan(MAX_MEDIAN_COMMIT_MS);
             assertThat(idleBytes).isLessThan(1_000);
         }
     }
 
+    private static long measureLargeChange(ControlHosts hosts, ControlGroup leader) {
+        String text = Samples.text(1_000) + "# comment\n".repeat(819) + "\n\n";
+        assertThat(text.length()).isEqualTo(8_353);
+        long bytesBefore = hosts.network.bytes.get();
+        ChangeRequest request = new ChangeRequest("large", "ana", Samples.BELLWORKS, text, COMMITS);
+        assertThat(leader.apply(request).get()).isEqualTo(new Accepted(COMMITS + 1));
+        return hosts.network.bytes.get() - bytesBefore;
+    }
+
     private static long measureIdleSecond(ControlHosts hosts) throws InterruptedException {
         Thread.sleep(500);
         long bytes = hosts.network.bytes.get();
