--- a/sequoianotch-control/src/test/java/org/sequoianotch/control/group/GroupFailureTest.java
+++ b/sequoianotch-control/src/test/java/org/sequoianotch/control/group/GroupFailureTest.java
@@ -235,8 +235,10 @@
         Member newcomer = new Member("host-9.1", HostId.of("host-9"), "0");
         leader.raft.addLearner(newcomer);
 
-        assertThat(leader.raft.changeMembers(newcomer, "").join().getLeft().detail())
-                .contains("has not caught up");
+        CompletableFuture<Either<Failure, byte[]>> answer = leader.raft.changeMembers(newcomer, "");
+
+        assertThat(answer.isDone()).isTrue();
+        assertThat(answer.join().getLeft().detail()).contains("has not caught up");
     }
 
     /** An entry of an earlier term on a majority may still be replaced, so it does not count as committed yet. */
