--- /dev/null
+++ b/sequoianotch-ctl/src/main/java/org/sequoianotch/ctl/AdminClient.java
@@ -0,0 +1,67 @@
+package org.sequoianotch.ctl;
+
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpConnectTimeoutException;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+
+/** Speaks to the admin listener of one node. This class is thread-safe. */
+final class AdminClient implements AutoCloseable {
+    private final HttpClient client;
+    private final String node;
+    private final String key;
+    private final long timeoutMs;
+
+    AdminClient(String node, String key, long timeoutMs) {
+        this.node = node;
+        this.key = key;
+        this.timeoutMs = timeoutMs;
+        client = HttpClient.newBuilder()
+                .version(HttpClient.Version.HTTP_1_1)
+                .connectTimeout(Duration.ofMillis(timeoutMs))
+                .build();
+    }
+
+    /** Why there is no answer, and whether the node may have received the question. */
+    record NoAnswer(String sentence, boolean sent) {}
+
+    /** Gets a path; the left side says why there is no answer. */
+    Either<NoAnswer, AdminAnswer> get(String target) throws InterruptedException {
+        return send("GET", target, HttpRequest.BodyPublishers.noBody(), 0);
+    }
+
+    /** Puts a text; {@code extraMs} is added to the time that the node may take. */
+    Either<NoAnswer, AdminAnswer> put(String target, String text, long extraMs) throws InterruptedException {
+        return send("PUT", target, HttpRequest.BodyPublishers.ofString(text, StandardCharsets.UTF_8), extraMs);
+    }
+
+    private Either<NoAnswer, AdminAnswer> send(
+            String method, String target, HttpRequest.BodyPublisher body, long extraMs) throws InterruptedException {
+        try {
+            HttpRequest.Builder request = HttpRequest.newBuilder(URI.create("http://" + node + target))
+                    .timeout(Duration.ofMillis(timeoutMs + extraMs))
+                    .method(method, body);
+            if (!key.isEmpty()) {
+                request.header("Authorization", "Bearer " + key);
+            }
+            HttpResponse<String> response =
+                    client.send(request.build(), HttpResponse.BodyHandlers.ofString(StandardCharsets.UTF_8));
+            return Either.right(new AdminAnswer(response.statusCode(), response.body()));
+        } catch (ConnectException | HttpConnectTimeoutException e) {
+            return Either.left(new NoAnswer("Node " + node + " is not reachable: " + e + ".", false));
+        } catch (IOException e) {
+            return Either.left(new NoAnswer("Node " + node + " gave no answer: " + e + ".", true));
+        }
+    }
+
+    @Override
+    public void close() {
+        client.shutdownNow();
+    }
+}
--- /dev/null
+++ b/sequoianotch-ctl/src/main/java/org/sequoianotch/ctl/ExplainCommand.java
@@ -0,0 +1,26 @@
+package org.sequoianotch.ctl;
+
+import com.github.rvesse.airline.annotations.Arguments;
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.restrictions.Required;
+import org.sequoianotch.model.RequestId;
+
+/** Explains what happened to a request. */
+@Command(name = "request", description = "Explain what happened to a request")
+public final class ExplainCommand extends RemoteCommand {
+    @Arguments(title = "REQUEST-ID", description = "Value of the Sequoianotch-Request-Id header")
+    @Required
+    private String requestId = "";
+
+    /** Creates the command; its options are set by the command line parser. */
+    public ExplainCommand() {}
+
+    @Override
+    ExitCode ask(CtlContext context, AdminClient client) throws InterruptedException {
+        if (RequestId.parse(requestId).isEmpty()) {
+            context.err().println("A request id has 32 hexadecimal digits; \"" + requestId + "\" is none.");
+            return ExitCode.USAGE;
+        }
+        return print(context, client.get("/v1/explain/" + requestId));
+    }
+}
