--- a/sequoianotch-ctl/src/main/java/org/sequoianotch/ctl/RemoteCommand.java
+++ b/sequoianotch-ctl/src/main/java/org/sequoianotch/ctl/RemoteCommand.java
@@ -58,6 +58,7 @@
         try {
             URI uri = URI.create("http://" + text);
             return uri.getHost() != null
+                    && uri.getUserInfo() == null
                     && uri.getPort() > 0
                     && uri.getAuthority().equals(text);
         } catch (IllegalArgumentException e) {
