--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/explain/TimelineText.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/explain/TimelineText.java
@@ -81,10 +81,11 @@
             return "None of the nodes that answered sent a call of it to a backend server.";
         }
         return String.format(
-                "%s sent to backend servers, on %s %s; what the other lines say was refused did not run.",
+                "%s sent to backend servers, on %s %s%s.",
                 calls == 1 ? "1 call was" : calls + " calls were",
                 hosts.size() == 1 ? "host" : "hosts",
-                String.join(", ", hosts.stream().map(HostId::name).toList()));
+                String.join(", ", hosts.stream().map(HostId::name).toList()),
+                has(timeline, EventKind.REFUSED) ? "; calls that were refused did not run" : "");
     }
 
     private static String counted(int number, String noun) {
