--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/explain/EventKind.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/explain/EventKind.java
@@ -1,6 +1,9 @@
 package org.sequoianotch.daemon.explain;
 
-/** Kind of an event in the timeline of a request. */
+/**
+ * Kind of an event in the timeline of a request. The ordinal is the wire value, so constants are only ever added at the
+ * end.
+ */
 public enum EventKind {
     /** An entry node received the request. */
     RECEIVED(false),
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/explain/ServiceSummary.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/explain/ServiceSummary.java
@@ -19,7 +19,7 @@
  * @param rows the counts, the largest first; not null
  */
 public record ServiceSummary(List<Row> rows) {
-    private static final int MAX_ROWS = 2_000;
+    private static final int MAX_ROWS = 500;
     private static final Comparator<Row> LARGEST_FIRST = Comparator.comparingLong(Row::count)
             .reversed()
             .thenComparing(row -> row.cell().toString());
