--- /dev/null
+++ b/sequoianotch-policy/src/test/java/org/sequoianotch/policy/simulation/SimulatedInstance.java
@@ -0,0 +1,108 @@
+package org.sequoianotch.policy.simulation;
+
+import java.util.Optional;
+import org.jspecify.annotations.Nullable;
+import org.sequoianotch.error.ErrorKind;
+import org.sequoianotch.error.Failure;
+import org.sequoianotch.model.Instance;
+import org.sequoianotch.model.LoadReport;
+import org.sequoianotch.policy.admission.AdmissionControl;
+import org.sequoianotch.policy.admission.AdmissionRequest;
+import org.sequoianotch.policy.admission.AdmissionTicket;
+import org.sequoianotch.policy.admission.CallResult;
+import org.sequoianotch.policy.admission.Permit;
+
+/** A backend server with its node's admission; it may call a service below before it answers. */
+final class SimulatedInstance {
+    final Instance instance;
+    /** Slows the backend server down. */
+    double slowFactor = 1;
+
+    private final Simulation simulation;
+    private final SimulatedService service;
+    private final AdmissionControl admission;
+    private final @Nullable SimulatedClient below;
+
+    SimulatedInstance(Simulation simulation, SimulatedService service, Instance instance) {
+        this.simulation = simulation;
+        this.service = service;
+        this.instance = instance;
+        this.admission = simulation.mode.newAdmission(service.rule, instance.slots(), simulation.clock);
+        this.below = service.below == null ? null : new SimulatedClient(simulation, service.below);
+    }
+
+    LoadReport load() {
+        return admission.load();
+    }
+
+    void serve(SimulatedRequest.Call call) {
+        SimulatedRequest request = call.request();
+        AdmissionTicket ticket = admission.submit(
+                new AdmissionRequest(request.id, request.criticality, call.depth(), request.deadlineAtMs));
+        Runnable cancel = ticket::cancel;
+        request.onCancel(cancel);
+        // Stands for the waiting thread, which makes its call expire.
+        simulation.after(service.rule.queueTimeMs() + 0.01, admission::load);
+        ticket.whenDecided(decision -> {
+            request.offCancel(cancel);
+            decision.peek(permit -> new Execution(call, permit).start())
+                    .peekLeft(failure -> call.done().accept(Optional.of(failure)));
+        });
+    }
+
+    private final class Execution {
+        private final SimulatedRequest.Call call;
+        private final Permit permit;
+        private final double startedAtMs = simulation.nowMs();
+        private final Runnable cancel = this::cancel;
+        private boolean working = true;
+        private boolean ended;
+
+        Execution(SimulatedRequest.Call call, Permit permit) {
+            this.call = call;
+            this.permit = permit;
+        }
+
+        void start() {
+            call.request().onCancel(cancel);
+            double durationMs = simulation.exponential(service.workMs) * slowFactor;
+            simulation.after(durationMs, this::onWorkDone);
+        }
+
+        private void onWorkDone() {
+            if (ended) {
+                return;
+            }
+            working = false;
+            call.request().addWork(simulation.nowMs() - startedAtMs);
+            if (below == null) {
+                end(CallResult.ANSWERED, Optional.empty());
+            } else {
+                below.call(
+                        new SimulatedRequest.Call(call.request(), call.depth() + 1, call.allowance(), this::onSubCall));
+            }
+        }
+
+        private void onSubCall(Optional<Failure> failure) {
+            end(
+                    failure.isPresent() ? CallResult.OVERLOADED : CallResult.ANSWERED,
+                    failure.map(cause -> Failure.of(ErrorKind.RETRIES_EXHAUSTED, cause.detail())));
+        }
+
+        private void cancel() {
+            if (working) {
+                call.request().addWork(simulation.nowMs() - startedAtMs);
+            }
+            end(CallResult.CANCELLED, Optional.of(Failure.of(ErrorKind.CALLER_GONE, "")));
+        }
+
+        private void end(CallResult result, Optional<Failure> failure) {
+            if (!ended) {
+                ended = true;
+                call.request().offCancel(cancel);
+                permit.release(result, simulation.nowMs() - startedAtMs);
+                call.done().accept(failure);
+            }
+        }
+    }
+}
