--- a/sequoianotch-ctl/src/main/java/org/sequoianotch/ctl/RemoteCommand.java
+++ b/sequoianotch-ctl/src/main/java/org/sequoianotch/ctl/RemoteCommand.java
@@ -14,6 +14,9 @@
 /** A command that asks a node. */
 abstract class RemoteCommand implements CtlCommand {
     private static final String KEY_VARIABLE = "SEQUOIANOTCH_OPERATOR_KEY";
+    /** Error of a change that may have been made. */
+    static final String IN_DOUBT = "in_doubt";
+
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
     @Option(name = "--node", title = "ADDRESS", description = "Admin listener of a node (default 127.0.0.1:8083)")
@@ -103,9 +106,9 @@
         if (json) {
             context.out().println(answer.body().strip());
         }
-        context.err()
-                .println("Refused (" + body.path("error").asText("status " + answer.status()) + "): "
-                        + body.path("detail").asText());
+        String code = body.path("error").asText("status " + answer.status());
+        String prefix = code.equals(IN_DOUBT) ? "In doubt: " : "Refused (" + code + "): ";
+        context.err().println(prefix + body.path("detail").asText());
     }
 
     static Either<String, JsonNode> parse(AdminAnswer answer) {
--- a/sequoianotch-ctl/src/main/java/org/sequoianotch/ctl/TemplateApplyCommand.java
+++ b/sequoianotch-ctl/src/main/java/org/sequoianotch/ctl/TemplateApplyCommand.java
@@ -17,7 +17,6 @@
     private static final int MAX_SENDS = 3;
 
     private static final long MS_PER_S = 1_000;
-    private static final String IN_DOUBT = "in_doubt";
 
     @Arguments(title = "FILE", description = "Template file")
     @Required
--- a/sequoianotch-ctl/src/test/java/org/sequoianotch/ctl/CtlTest.java
+++ b/sequoianotch-ctl/src/test/java/org/sequoianotch/ctl/CtlTest.java
@@ -220,6 +220,8 @@
         status = 504;
         body = "{\"error\":\"in_doubt\",\"detail\":\"The answer was lost.\"}";
         assertThat(run("template", "apply", file, "--expect-revision", "7")).isEqualTo(ExitCode.IN_DOUBT);
+        assertThat(err.toString(StandardCharsets.UTF_8)).contains("In doubt: The answer was lost.");
+        assertThat(err.toString(StandardCharsets.UTF_8)).doesNotContain("Refused");
         server.stop(0);
         err.reset();
         assertThat(run("template", "apply", file, "--expect-revision", "7")).isEqualTo(ExitCode.NOT_REACHABLE);
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/admin/TemplateEndpoint.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/admin/TemplateEndpoint.java
@@ -112,7 +112,7 @@
         return switch (result) {
             case ChangeResult.Refused refused -> {
                 LOG.info(
-                        "[admin] A change of {} by {} was refused with {}.",
+                        "[admin] A change of {} by {} ended with {}.",
                         change.organisation(),
                         operator,
                         refused.refusal().code());
