--- a/sequoianotch-proof/src/main/java/org/sequoianotch/proof/quickstart/QuickstartClient.java
+++ b/sequoianotch-proof/src/main/java/org/sequoianotch/proof/quickstart/QuickstartClient.java
@@ -1,5 +1,7 @@
 package org.sequoianotch.proof.quickstart;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
 import java.net.URI;
 import java.net.http.HttpClient;
@@ -7,34 +9,38 @@
 import java.net.http.HttpResponse;
 import java.time.Duration;
 
-/** Sends a lookup, a booking, its repeat and a photo upload to a node and prints each answer. */
+/** Sends a lookup, a booking, its repeat and a photo upload to a node and prints each answer and its explanation. */
 public final class QuickstartClient {
     private static final Duration READY_TIMEOUT = Duration.ofSeconds(30);
     private static final Duration CALL_TIMEOUT = Duration.ofSeconds(10);
     private static final long READY_POLL_MS = 200;
     private static final int PHOTO_BYTES = 1_048_576;
     private static final int OK = 200;
+    /** Key that the settings of the quickstart's nodes give to their operator. */
+    private static final String OPERATOR_KEY = "quickstart-operator-key";
 
     private final HttpClient client = HttpClient.newBuilder()
             .version(HttpClient.Version.HTTP_1_1)
             .connectTimeout(CALL_TIMEOUT)
             .build();
     private final String node;
+    private final String admin;
     private boolean allCompleted = true;
 
-    private QuickstartClient(String node) {
+    private QuickstartClient(String node, String admin) {
         this.node = node;
+        this.admin = admin;
     }
 
     /**
      * Sends the requests; exits with 0 if all of them completed.
      *
-     * @param arguments address of a node's caller listener, such as {@code 127.0.0.1:8080}; not null
+     * @param arguments addresses of a node's caller listener and admin listener; not null
      * @throws IOException if the node cannot be reached
      * @throws InterruptedException if the thread is interrupted
      */
     public static void main(String[] arguments) throws IOException, InterruptedException {
-        QuickstartClient quickstart = new QuickstartClient(arguments[0]);
+        QuickstartClient quickstart = new QuickstartClient(arguments[0], arguments[1]);
         quickstart.awaitReady();
         quickstart.run();
         System.exit(quickstart.allCompleted ? 0 : 1);
@@ -73,6 +79,18 @@
                 + response.headers().firstValue("Sequoianotch-Outcome").orElse("missing") + ", request "
                 + response.headers().firstValue("Sequoianotch-Request-Id").orElse("missing"));
         System.out.println("  " + response.body().trim());
+        System.out.println("  Explained by the node:");
+        HttpRequest explain = HttpRequest.newBuilder(URI.create("http://" + admin + "/v1/explain/"
+                        + response.headers()
+                                .firstValue("Sequoianotch-Request-Id")
+                                .orElse("missing")))
+                .header("Authorization", "Bearer " + OPERATOR_KEY)
+                .timeout(CALL_TIMEOUT)
+                .build();
+        JsonNode explanation = new ObjectMapper()
+                .readTree(client.send(explain, HttpResponse.BodyHandlers.ofString())
+                        .body());
+        explanation.path("text").forEach(line -> System.out.println("    " + line.asText()));
         allCompleted &= response.statusCode() == OK;
     }
 
