Close idle links, refuse answers whose end is not marked, check TLS files

- A node that asked all others once, for a status or an explanation, paid the heartbeats of 630 links for good.
Links unused for 60 s are closed; a call that meets a closing link opens a new one, and nothing was sent before.
- A backend server's answer without Content-Length or chunks ends with its connection, which a crash does as well; it is reported as cut instead of passed on as whole.
- Settings with one or two of the three TLS files failed at the start with a stack trace; all missing and unreadable ones are reported now.

--- a/sequoianotch-core/src/main/java/org/sequoianotch/settings/NodeSettings.java
+++ b/sequoianotch-core/src/main/java/org/sequoianotch/settings/NodeSettings.java
@@ -2,6 +2,7 @@
 
 import io.vavr.control.Either;
 import java.net.InetSocketAddress;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.EnumMap;
@@ -111,6 +112,23 @@
                     settings.text(NodeSetting.PEER_SILENCE_TIMEOUT_MS),
                     "it must be longer than [peer] heartbeat_ms"));
         }
+        checkTls(file, settings, problems);
+    }
+
+    private static void checkTls(String file, NodeSettings settings, List<SettingsProblem> problems) {
+        List<NodeSetting> files =
+                List.of(NodeSetting.PEER_TLS_CERTIFICATE, NodeSetting.PEER_TLS_KEY, NodeSetting.PEER_TLS_TRUST);
+        boolean anyGiven =
+                files.stream().anyMatch(setting -> settings.path(setting).isPresent());
+        for (NodeSetting setting : files) {
+            Optional<Path> path = settings.path(setting);
+            if (anyGiven && path.isEmpty()) {
+                problems.add(problem(
+                        file, setting, "", "TLS needs tls_certificate, tls_key and tls_trust, or none of the three"));
+            } else if (path.isPresent() && !Files.isReadable(path.get())) {
+                problems.add(problem(file, setting, settings.text(setting), "the file cannot be read"));
+            }
+        }
     }
 
     private static List<String> sorted(Set<String> choices) {
--- a/sequoianotch-core/src/test/java/org/sequoianotch/settings/NodeSettingsTest.java
+++ b/sequoianotch-core/src/test/java/org/sequoianotch/settings/NodeSettingsTest.java
@@ -73,6 +73,17 @@
         assertThat(problems.get(0).key()).isEqualTo(key);
     }
 
+    @Test
+    void halfOfTheTlsFilesAreReported() {
+        String text = MINIMAL + "[peer]\ntls_trust = no-such-file.pem\n";
+
+        List<SettingsProblem> problems =
+                IniFile.parse("node.ini", text).flatMap(NodeSettings::from).getLeft();
+
+        assertThat(problems.stream().map(SettingsProblem::key).toList())
+                .containsExactly("tls_certificate", "tls_key", "tls_trust");
+    }
+
     @Test
     void keyGivenTwiceIsAProblem() {
         List<SettingsProblem> problems = IniFile.parse("node.ini", MINIMAL + "key = another-key-0123456\n")
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/Node.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/Node.java
@@ -46,6 +46,7 @@
     private static final int EVENT_LOOP_THREADS = 2;
     private static final long TIMER_TICK_MS = 5;
     private static final long LEASE_CHECK_MS = 200;
+    private static final long IDLE_LINK_MS = 60_000;
     private static final long OPEN_CALLS_POLL_MS = 10;
 
     private final NodeSettings settings;
@@ -173,7 +174,7 @@
         } catch (NodeStartException e) {
             return Either.left(Failure.of(ErrorKind.INTERNAL, String.valueOf(e.getMessage())));
         }
-        Thread.ofVirtual().name("lease-check").start(this::checkLeases);
+        Thread.ofVirtual().name("lease-check").start(this::checkLeasesAndLinks);
         return bind("admin", NodeSetting.ADMIN_LISTEN, adminHandler)
                 .flatMap(bound -> bind("backend", NodeSetting.BACKEND_LISTEN, callPath.backendHandler()))
                 .flatMap(bound -> bind("caller", NodeSetting.CALLER_LISTEN, callPath.callerHandler()));
@@ -194,10 +195,11 @@
         }
     }
 
-    private void checkLeases() {
+    private void checkLeasesAndLinks() {
         try {
             while (!stopped) {
                 instances.expire();
+                links.closeIdleLinks(IDLE_LINK_MS);
                 Thread.sleep(LEASE_CHECK_MS);
             }
         } catch (InterruptedException e) {
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/BackendConnection.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/BackendConnection.java
@@ -31,6 +31,7 @@
     private final InboundQueue queue;
     private final ChannelWriter writer;
     private boolean reusable;
+    private boolean headRequest;
     private volatile double idleSinceMs;
 
     BackendConnection(BackendClient client, Channel channel, InboundQueue queue, ChannelWriter writer) {
@@ -66,6 +67,7 @@
     public boolean start(String method, String path, List<HeaderField> headers, long bodyBytes, long timeoutMs)
             throws InterruptedException {
         reusable = false;
+        headRequest = method.equals("HEAD");
         HttpRequest request;
         if (bodyBytes == 0) {
             request = new DefaultFullHttpRequest(
@@ -126,7 +128,7 @@
         return switch (part.get()) {
             case HttpPart.ResponseHead head -> {
                 reusable = head.keepAlive();
-                yield Either.right(new AnswerHeader(head.status(), head.headers(), head.bodyBytes()));
+                yield check(head);
             }
             case HttpPart.Malformed malformed -> Either.left(Failure.of(
                     ErrorKind.BACKEND_CUT_ANSWER,
@@ -136,6 +138,17 @@
         };
     }
 
+    /** A body that ends with the connection cannot be told from one that was cut, so it is never passed on. */
+    private Either<Failure, AnswerHeader> check(HttpPart.ResponseHead head) {
+        if (!head.endIsMarked() && !headRequest) {
+            return Either.left(Failure.of(
+                    ErrorKind.BACKEND_CUT_ANSWER,
+                    "The backend server's answer has neither a Content-Length nor chunks, so nothing shows whether it"
+                            + " is complete."));
+        }
+        return Either.right(new AnswerHeader(head.status(), head.headers(), head.bodyBytes()));
+    }
+
     /**
      * Reads the next part of the response's body.
      *
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/HttpPart.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/HttpPart.java
@@ -21,8 +21,12 @@
             long bodyBytes)
             implements HttpPart {}
 
-    /** Head of a response. A negative {@code bodyBytes} stands for a body of unknown length. */
-    record ResponseHead(int status, List<HeaderField> headers, boolean keepAlive, long bodyBytes) implements HttpPart {}
+    /**
+     * Head of a response. A negative {@code bodyBytes} stands for a body of unknown length; {@code endIsMarked} tells
+     * whether length or chunks show where the body ends.
+     */
+    record ResponseHead(int status, List<HeaderField> headers, boolean keepAlive, long bodyBytes, boolean endIsMarked)
+            implements HttpPart {}
 
     /** A part of a body. */
     record Data(byte[] bytes) implements HttpPart {
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/PartReader.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/PartReader.java
@@ -80,8 +80,10 @@
             informational = status < 200;
             if (!informational) {
                 long bodyBytes = chunked ? -1 : HttpUtil.getContentLength(message, -1L);
-                boolean keepAlive = HttpUtil.isKeepAlive(message) && (chunked || bodyBytes >= 0);
-                queue.put(new HttpPart.ResponseHead(status, fields(message.headers()), keepAlive, bodyBytes));
+                boolean endIsMarked = chunked || bodyBytes >= 0 || HeaderFields.isBodyless(status);
+                boolean keepAlive = HttpUtil.isKeepAlive(message) && endIsMarked;
+                queue.put(new HttpPart.ResponseHead(
+                        status, fields(message.headers()), keepAlive, bodyBytes, endIsMarked));
             }
         }
     }
--- /dev/null
+++ b/sequoianotch-proof/src/main/java/org/sequoianotch/proof/load/ConnectionMemoryMain.java
@@ -0,0 +1,67 @@
+package org.sequoianotch.proof.load;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.sequoianotch.settings.ValueKind;
+
+/**
+ * Measures the resident memory of a node against the number of caller connections that are open and have each carried a
+ * request.
+ *
+ * <p>Arguments: address of the node's caller listener, and the process id of the node.
+ */
+public final class ConnectionMemoryMain {
+    private static final int[] STEPS = {0, 100, 200, 400, 800};
+    private static final int TIMEOUT_MS = 10_000;
+    private static final long SETTLE_MS = 1_000;
+    private static final double MIB = 1_048_576.0;
+
+    private ConnectionMemoryMain() {}
+
+    /**
+     * Runs the measurement and prints a table.
+     *
+     * @param arguments see the class; not null
+     * @throws IOException if the node cannot be reached
+     * @throws InterruptedException if the thread is interrupted
+     */
+    public static void main(String[] arguments) throws IOException, InterruptedException {
+        InetSocketAddress node = ValueKind.parseAddress(arguments[0]).orElseThrow();
+        long pid = Long.parseLong(arguments[1]);
+        List<Socket> open = new ArrayList<>();
+        System.out.println("| caller connections | resident MiB |");
+        System.out.println("| --- | --- |");
+        for (int step : STEPS) {
+            while (open.size() < step) {
+                open.add(connect(node));
+            }
+            Thread.sleep(SETTLE_MS);
+            System.out.printf("| %d | %.1f |%n", step, ProcessUsage.of(pid).residentBytes() / MIB);
+        }
+        for (Socket socket : open) {
+            socket.close();
+        }
+    }
+
+    private static Socket connect(InetSocketAddress node) throws IOException {
+        Socket socket = new Socket();
+        socket.setSoTimeout(TIMEOUT_MS);
+        socket.connect(node, TIMEOUT_MS);
+        socket.getOutputStream()
+                .write("GET /specdesk/doors/1 HTTP/1.1\r\nHost: node\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+        readHead(socket.getInputStream());
+        return socket;
+    }
+
+    private static void readHead(InputStream input) throws IOException {
+        byte[] buffer = new byte[4_096];
+        if (input.read(buffer) < 0) {
+            throw new IOException("The node closed the connection");
+        }
+    }
+}
--- a/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/link/OutgoingLink.java
+++ b/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/link/OutgoingLink.java
@@ -32,9 +32,38 @@
     private final AtomicLong lastAskId = new AtomicLong();
     private long lastCallId;
     private volatile @Nullable String goAwayReason;
+    private volatile double lastUsedMs;
+    private volatile boolean retired;
 
     OutgoingLink(FrameChannel channel, HostId peer, LinkContext context) {
         super(channel, peer, context);
+        lastUsedMs = context.clock().monotonicMs();
+    }
+
+    /** Closes the link if nothing was sent on it for the given time; nothing can be opened on it from then on. */
+    boolean retireIfIdle(long idleMs) {
+        openLock.lock();
+        try {
+            boolean idle =
+                    calls.isEmpty() && questions.isEmpty() && context().clock().monotonicMs() - lastUsedMs > idleMs;
+            if (!idle || retired) {
+                return false;
+            }
+            retired = true;
+        } finally {
+            openLock.unlock();
+        }
+        close("it was not used for " + idleMs + " ms");
+        return true;
+    }
+
+    boolean isRetired() {
+        return retired;
+    }
+
+    private Failure retiredFailure() {
+        return Failure.of(
+                ErrorKind.NO_INSTANCE, "The link with host " + peer() + " was closed, because it was not used.");
     }
 
     Either<Failure, PeerCall> open(CallHeader header) {
@@ -46,6 +75,10 @@
         // The lock keeps the order of ids on the wire, by which the peer knows that no id is used twice.
         openLock.lock();
         try {
+            if (retired) {
+                return Either.left(retiredFailure());
+            }
+            lastUsedMs = context().clock().monotonicMs();
             long callId = lastCallId + 1;
             ByteBuf start = FrameCodec.encodeWithPrefix(new Frame.CallStart(callId, header));
             lastCallId = callId;
@@ -67,7 +100,16 @@
     Either<Failure, byte[]> ask(Topic topic, byte[] payload, long timeoutMs) {
         long askId = lastAskId.incrementAndGet();
         CompletableFuture<Either<Failure, byte[]>> result = new CompletableFuture<>();
-        questions.put(askId, result);
+        openLock.lock();
+        try {
+            if (retired) {
+                return Either.left(retiredFailure());
+            }
+            lastUsedMs = context().clock().monotonicMs();
+            questions.put(askId, result);
+        } finally {
+            openLock.unlock();
+        }
         try {
             send(new Frame.Ask(askId, topic, payload));
             if (hasEnded()) {
--- a/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/link/PeerLinks.java
+++ b/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/link/PeerLinks.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Function;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.jspecify.annotations.Nullable;
@@ -67,18 +68,45 @@
 
     @Override
     public Either<Failure, PeerCall> open(String peerAddress, CallHeader header) {
-        return link(peerAddress, header.timeLeftMs()).flatMap(link -> link.open(header));
+        return onLink(peerAddress, header.timeLeftMs(), link -> link.open(header));
     }
 
     @Override
     public Either<Failure, byte[]> ask(String peerAddress, Topic topic, byte[] payload, long timeoutMs) {
         double startMs = context.clock().monotonicMs();
-        return link(peerAddress, timeoutMs).flatMap(link -> {
+        return onLink(peerAddress, timeoutMs, link -> {
             long leftMs = timeoutMs - (long) (context.clock().monotonicMs() - startMs);
             return link.ask(topic, payload, Math.max(1, leftMs));
         });
     }
 
+    /** Uses the link of an address; if it was retired at this very moment, nothing was sent and a new one is opened. */
+    private <T> Either<Failure, T> onLink(
+            String address, long timeoutMs, Function<OutgoingLink, Either<Failure, T>> use) {
+        while (true) {
+            Either<Failure, OutgoingLink> link = link(address, timeoutMs);
+            if (link.isLeft()) {
+                return Either.left(link.getLeft());
+            }
+            Either<Failure, T> result = use.apply(link.get());
+            if (result.isRight() || !link.get().isRetired()) {
+                return result;
+            }
+        }
+    }
+
+    /**
+     * Closes the links that were not used for a time. Without it, a node that once asked all others would pay the
+     * heartbeats of a link to each of them for good.
+     *
+     * @param idleMs how long a link may be unused, in milliseconds; positive
+     * @return the number of links closed
+     */
+    public int closeIdleLinks(long idleMs) {
+        return (int)
+                openLinks().stream().filter(link -> link.retireIfIdle(idleMs)).count();
+    }
+
     @Override
     public void goAway(String reason) {
         openLinks().forEach(link -> link.goAway(reason));
@@ -114,7 +142,7 @@
                 }
             }
             Either<Failure, OutgoingLink> link = await(address, future, timeoutMs);
-            if (link.isLeft() || !link.get().isClosed()) {
+            if (link.isLeft() || !link.get().isClosed() && !link.get().isRetired()) {
                 return link;
             }
             links.remove(address, future);
--- a/sequoianotch-protocol/src/test/java/org/sequoianotch/protocol/link/LinkFailureTest.java
+++ b/sequoianotch-protocol/src/test/java/org/sequoianotch/protocol/link/LinkFailureTest.java
@@ -66,6 +66,30 @@
         }
     }
 
+    /** Guards against links that cost heartbeats for good, and against closing one that is in use. */
+    @Test
+    void idleLinkIsClosedAndReplacedOnUse() throws Exception {
+        CountDownLatch release = new CountDownLatch(1);
+        CallHandler handler = call -> {
+            try {
+                release.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+            call.refuse(Failure.of(ErrorKind.OVERLOADED, "end of the test"), Peers.TRAILER);
+        };
+        try (Peers peers = new Peers(handler)) {
+            PeerCall open = peers.links.open(peers.address, Peers.header("/a")).get();
+            Thread.sleep(20);
+            assertThat(peers.links.closeIdleLinks(10)).isEqualTo(0);
+            release.countDown();
+            assertThat(open.awaitAnswer(5_000).getLeft().kind()).isEqualTo(ErrorKind.OVERLOADED);
+            Peers.await(() -> peers.links.closeIdleLinks(10) == 1);
+            peers.links.open(peers.address, Peers.header("/b")).get().cancel("end of the test");
+            Peers.await(() -> peers.callerCounters.opened() == 2);
+        }
+    }
+
     /** Guards against calls that are taken before the handshake, and against other versions. */
     @ParameterizedTest
     @MethodSource("badFirstFrames")
