Test the HTTP listener and the client of backend servers

The tests cover malformed, oversized and cut input, refused uploads, callers that leave, a stop with a request in flight, and which answers count as whole. A first version half-closed the callers' connections: the listener takes that for a caller that left, as HTTP callers do not half-close; the tests now leave the connection open.

--- /dev/null
+++ b/sequoianotch-daemon/src/test/java/org/sequoianotch/daemon/http/BackendClientTest.java
@@ -0,0 +1,149 @@
+package org.sequoianotch.daemon.http;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.sequoianotch.error.ErrorKind;
+import org.sequoianotch.error.Failure;
+import org.sequoianotch.protocol.AnswerHeader;
+import org.sequoianotch.time.SystemClock;
+
+/** Guards against answers of a backend server that are passed on as whole although they may have been cut. */
+@Timeout(30)
+final class BackendClientTest {
+    private static final long TIMEOUT_MS = 5_000;
+
+    private final EventLoopGroup eventLoops = new NioEventLoopGroup(1);
+    private final AtomicInteger accepted = new AtomicInteger();
+    private ServerSocket server;
+
+    @BeforeEach
+    void listen() throws IOException {
+        server = new ServerSocket(0, 16, InetAddress.getLoopbackAddress());
+    }
+
+    @AfterEach
+    void close() throws IOException {
+        server.close();
+        eventLoops.shutdownGracefully();
+    }
+
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            textBlock =
+                    """
+                    HTTP/1.1 200 OK^Content-Length: 4^^abcd             | abcd
+                    HTTP/1.1 200 OK^Transfer-Encoding: chunked^^2^ab^0^^| ab
+                    HTTP/1.1 204 No Content^^                           | ''
+                    HTTP/1.1 200 OK^Content-Length: 9^^abcd             | backend_cut_answer
+                    HTTP/1.1 200 OK^Transfer-Encoding: chunked^^2^ab^   | backend_cut_answer
+                    HTTP/1.1 200 OK^^abcd                               | backend_cut_answer
+                    NOT HTTP AT ALL^^                                   | backend_cut_answer
+                    ''                                                  | connection_lost
+                    """)
+    void onlyWholeAnswersAreTakenAsWhole(String answer, String expected) throws Exception {
+        serve(answer.strip().replace("^", "\r\n"), true);
+        BackendConnection connection = client().connect().get();
+
+        String result = call(connection).fold(failure -> failure.kind().code(), body -> body);
+
+        assertThat(result).isEqualTo(expected.strip());
+    }
+
+    @Test
+    void refusedConnectionProvesThatNothingRan() throws Exception {
+        int port = server.getLocalPort();
+        server.close();
+
+        Failure failure = clientOf(port).connect().getLeft();
+
+        assertThat(failure.provesNotRun()).isTrue();
+    }
+
+    @Test
+    void connectionIsReusedAfterAWholeAnswer() throws Exception {
+        serve("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", false);
+        BackendClient client = client();
+        BackendConnection first = client.connect().get();
+        assertThat(call(first).get()).isEqualTo("ok");
+        first.finish();
+
+        assertThat(call(client.connect().get()).get()).isEqualTo("ok");
+
+        assertThat(accepted.get()).isEqualTo(1);
+    }
+
+    @Test
+    void silentBackendServerEndsInDoubt() throws Exception {
+        BackendConnection connection = client().connect().get();
+        connection.start("GET", "/", List.of(), 0, TIMEOUT_MS);
+
+        assertThat(connection.awaitAnswer(50).getLeft().kind()).isEqualTo(ErrorKind.DEADLINE_IN_DOUBT);
+    }
+
+    private BackendClient client() {
+        return clientOf(server.getLocalPort());
+    }
+
+    private BackendClient clientOf(int port) {
+        return new BackendClient(
+                new InetSocketAddress(InetAddress.getLoopbackAddress(), port), eventLoops, 1_000, SystemClock.INSTANCE);
+    }
+
+    private static Either<Failure, String> call(BackendConnection connection) throws InterruptedException {
+        connection.start("GET", "/", List.of(), 0, TIMEOUT_MS);
+        Either<Failure, AnswerHeader> head = connection.awaitAnswer(TIMEOUT_MS);
+        if (head.isLeft()) {
+            return Either.left(head.getLeft());
+        }
+        StringBuilder body = new StringBuilder();
+        while (true) {
+            Either<Failure, Optional<byte[]>> part = connection.readAnswerBody(TIMEOUT_MS);
+            if (part.isLeft()) {
+                return Either.left(part.getLeft());
+            }
+            if (part.get().isEmpty()) {
+                return Either.right(body.toString());
+            }
+            body.append(new String(part.get().get(), StandardCharsets.US_ASCII));
+        }
+    }
+
+    /** Answers each request on each connection with the same bytes, and then closes the connection if asked to. */
+    private void serve(String answer, boolean closeAfterwards) {
+        Thread.ofVirtual().start(() -> {
+            while (!server.isClosed()) {
+                try (Socket socket = server.accept()) {
+                    accepted.incrementAndGet();
+                    byte[] buffer = new byte[4_096];
+                    while (socket.getInputStream().read(buffer) > 0) {
+                        socket.getOutputStream().write(answer.getBytes(StandardCharsets.US_ASCII));
+                        if (closeAfterwards) {
+                            break;
+                        }
+                    }
+                } catch (IOException e) {
+                    return;
+                }
+            }
+        });
+    }
+}
--- /dev/null
+++ b/sequoianotch-daemon/src/test/java/org/sequoianotch/daemon/http/HttpListenerTest.java
@@ -0,0 +1,154 @@
+package org.sequoianotch.daemon.http;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.sequoianotch.error.Failure;
+
+/** Guards against input that takes the listener down, gets no answer, or is taken as a whole request. */
+@Timeout(30)
+final class HttpListenerTest {
+    private static final int MAX_HEADER_BYTES = 2_048;
+    private static final long IDLE_TIMEOUT_MS = 500;
+
+    private final EventLoopGroup eventLoops = new NioEventLoopGroup(1);
+    private final CountDownLatch callerGone = new CountDownLatch(1);
+    private HttpListener listener;
+
+    @AfterEach
+    void close() {
+        eventLoops.shutdownGracefully();
+    }
+
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            textBlock =
+                    """
+                    GET /a HTTP/1.1^^                                                   | HTTP/1.1 200 OK
+                    POST /a HTTP/1.1^Content-Length: 3^^abc                             | HTTP/1.1 200 OK
+                    POST /a HTTP/1.1^Transfer-Encoding: chunked^^3^abc^0^^              | HTTP/1.1 200 OK
+                    POST /a HTTP/1.1^Content-Length: 3^Transfer-Encoding: chunked^^abc  | HTTP/1.1 400 Bad Request
+                    POST /a HTTP/1.1^Content-Length: x^^abc                             | HTTP/1.1 400 Bad Request
+                    NONSENSE^^                                                          | HTTP/1.1 400 Bad Request
+                    """)
+    void eachRequestGetsOneAnswer(String request, String statusLine) throws Exception {
+        bind(this::echo);
+
+        assertThat(send(request.strip().replace("^", "\r\n")).lines().findFirst())
+                .hasValue(statusLine.strip());
+    }
+
+    @Test
+    void oversizedHeaderIsRefused() throws Exception {
+        bind(this::echo);
+
+        String answer = send("GET /a HTTP/1.1\r\nX: " + "x".repeat(2 * MAX_HEADER_BYTES) + "\r\n\r\n");
+
+        assertThat(answer).startsWith("HTTP/1.1 400 Bad Request");
+        assertThat(answer).contains("bad_request");
+    }
+
+    @Test
+    void bodyThatEndsEarlyIsAFailure() throws Exception {
+        bind(this::echo);
+
+        assertThat(send("POST /a HTTP/1.1\r\nContent-Length: 10\r\n\r\nabc")).contains("body_incomplete");
+    }
+
+    @Test
+    void refusedUploadIsAnsweredBeforeItsBodyIsTaken() throws Exception {
+        bind(exchange -> exchange.respond(WholeResponse.ofText(503, "text/plain", "refused")));
+
+        String answer = send("PUT /a HTTP/1.1\r\nContent-Length: 1000000\r\nExpect: 100-continue\r\n\r\n");
+
+        assertThat(answer).startsWith("HTTP/1.1 503");
+        assertThat(answer).doesNotContain("100 Continue");
+    }
+
+    @Test
+    void callerThatLeavesIsNoticedWhileItsRequestRuns() throws Exception {
+        bind(exchange -> {
+            exchange.onClose(callerGone::countDown);
+            callerGone.await();
+            exchange.abort();
+        });
+        try (Socket socket = connect()) {
+            socket.getOutputStream().write("GET /a HTTP/1.1\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+        }
+
+        assertThat(callerGone.await(10, TimeUnit.SECONDS)).isTrue();
+    }
+
+    @Test
+    void stopLetsTheRequestInFlightFinish() throws Exception {
+        CountDownLatch running = new CountDownLatch(1);
+        CountDownLatch release = new CountDownLatch(1);
+        bind(exchange -> {
+            running.countDown();
+            release.await();
+            exchange.respond(WholeResponse.ofText(200, "text/plain", "whole"));
+        });
+        try (Socket socket = connect()) {
+            socket.getOutputStream().write("GET /a HTTP/1.1\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+            running.await();
+            Thread stop = Thread.ofVirtual().start(this::stopListener);
+            release.countDown();
+
+            assertThat(new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII))
+                    .endsWith("whole");
+            stop.join();
+        }
+    }
+
+    private void stopListener() {
+        try {
+            listener.stop(10_000);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void bind(HttpHandler handler) throws InterruptedException {
+        InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+        listener = HttpListener.bind(
+                new ListenerOptions("test", address, MAX_HEADER_BYTES, 10, IDLE_TIMEOUT_MS), eventLoops, handler);
+    }
+
+    private void echo(HttpExchange exchange) throws InterruptedException {
+        Either<Failure, byte[]> body = exchange.readWholeBody(1_000);
+        if (body.isLeft()) {
+            exchange.respond(Problem.of(body.getLeft()));
+        } else {
+            exchange.respond(new WholeResponse(200, List.of(), body.get()));
+        }
+    }
+
+    private Socket connect() throws IOException {
+        return new Socket(listener.address().getAddress(), listener.address().getPort());
+    }
+
+    private String send(String request) throws IOException {
+        try (Socket socket = connect()) {
+            socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
+            // The listener closes the connection after the idle timeout. Closing the output instead would count as
+            // leaving, because HTTP callers do not half-close.
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+        }
+    }
+}
