Measure goodput of whole requests under overload, naive against protective

The load tool starts the deployment of a load plan with real node processes and stand-ins, and compares the goodput of each phase with what ideal admission by criticality could complete. An execution of a stand-in now records when it began, and for how long it held a slot.

--- /dev/null
+++ b/sequoianotch-proof/src/main/java/org/sequoianotch/proof/load/overload/LoadPlan.java
@@ -0,0 +1,126 @@
+package org.sequoianotch.proof.load.overload;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import org.sequoianotch.model.Criticality;
+import org.sequoianotch.proof.load.CallTemplate;
+import org.sequoianotch.proof.scenario.Scenario;
+import org.sequoianotch.proof.standin.SubCall;
+import org.sequoianotch.settings.IniFile;
+import org.sequoianotch.settings.ValueKind;
+
+/**
+ * A deployment and its load, as an INI file describes them.
+ *
+ * <p>This type is immutable.
+ *
+ * @param name name of the deployment; not null
+ * @param template protection template; not null
+ * @param deepService service at the end of the chains, which is slowed down; not null
+ * @param spareService service of which one instance can carry the steady load, and so may be lost; not null
+ * @param services the services by name; not null
+ * @param classes the classes of requests; not null
+ * @param hosts the hosts, one for each instance; not null
+ */
+record LoadPlan(
+        String name,
+        Path template,
+        String deepService,
+        String spareService,
+        Map<String, ServicePlan> services,
+        List<LoadClass> classes,
+        List<Scenario.HostPlan> hosts) {
+    private static final int LEDGER_HOSTS_PER_DATA_CENTRE = 3;
+
+    static LoadPlan read(Path file) {
+        IniFile ini = IniFile.read(file).getOrElseThrow(problems -> new IllegalArgumentException(problems.toString()));
+        Map<String, String> head = ini.sections().getOrDefault("load", Map.of());
+        Map<String, ServicePlan> services = new LinkedHashMap<>();
+        List<LoadClass> classes = new ArrayList<>();
+        double shares = ini.sections().values().stream()
+                .mapToDouble(values -> Double.parseDouble(values.getOrDefault("share", "0")))
+                .sum();
+        ini.sections().forEach((section, values) -> {
+            String[] words = section.split("\\s+", 2);
+            switch (words[0]) {
+                case "load" -> {}
+                case "service" -> services.put(words[1], service(words[1], values));
+                case "class" -> classes.add(loadClass(words[1], values, shares));
+                default -> throw new IllegalArgumentException(file + ": no such section [" + section + "]");
+            }
+        });
+        // Templates are in the parent folder of the load plans.
+        Path folder = file.toAbsolutePath().normalize().getParent().getParent();
+        return new LoadPlan(
+                required(head, "name"),
+                folder.resolve(required(head, "template")),
+                required(head, "deep_service"),
+                required(head, "spare_service"),
+                services,
+                classes,
+                hosts(services, ValueKind.items(required(head, "data_centres")), required(head, "region")));
+    }
+
+    private static ServicePlan service(String name, Map<String, String> values) {
+        String calls = values.getOrDefault("calls", "");
+        return new ServicePlan(
+                name,
+                Integer.parseInt(required(values, "instances")),
+                Integer.parseInt(required(values, "slots")),
+                Double.parseDouble(required(values, "work_ms")),
+                calls,
+                ValueKind.items(calls).stream().map(SubCall::parse).toList());
+    }
+
+    private static LoadClass loadClass(String name, Map<String, String> values, double shares) {
+        String[] request = required(values, "request").split("\\s+");
+        byte[] body = new byte[Integer.parseInt(values.getOrDefault("body_bytes", "0"))];
+        boolean keyed = values.getOrDefault("keyed", "false").equals("true");
+        return new LoadClass(
+                Criticality.valueOf(required(values, "criticality").toUpperCase(Locale.ROOT)),
+                new CallTemplate(name, request[0], request[1], body, keyed),
+                Double.parseDouble(required(values, "share")) / shares);
+    }
+
+    /** Spreads the instances of each service over the data centres. */
+    private static List<Scenario.HostPlan> hosts(
+            Map<String, ServicePlan> services, List<String> dataCentres, String region) {
+        List<Scenario.HostPlan> hosts = new ArrayList<>();
+        Map<String, Integer> hostsOfDataCentre = new LinkedHashMap<>();
+        for (ServicePlan service : services.values()) {
+            for (int i = 0; i < service.instances(); i++) {
+                String dataCentre = dataCentres.get(i % dataCentres.size());
+                boolean ledger = hostsOfDataCentre.merge(dataCentre, 1, Integer::sum) <= LEDGER_HOSTS_PER_DATA_CENTRE;
+                hosts.add(new Scenario.HostPlan(
+                        service.name() + "-" + (i + 1),
+                        dataCentre,
+                        region,
+                        service.name(),
+                        service.slots(),
+                        service.workMs(),
+                        service.callsText(),
+                        ledger));
+            }
+        }
+        return hosts;
+    }
+
+    private static String required(Map<String, String> values, String key) {
+        String value = values.get(key);
+        if (value == null) {
+            throw new IllegalArgumentException(key + " is missing in " + values);
+        }
+        return value;
+    }
+
+    List<String> hostsOf(String service) {
+        return hosts.stream()
+                .filter(host -> host.service().equals(service))
+                .map(Scenario.HostPlan::name)
+                .toList();
+    }
+}
--- /dev/null
+++ b/sequoianotch-proof/src/main/java/org/sequoianotch/proof/load/overload/PhaseReport.java
@@ -0,0 +1,157 @@
+package org.sequoianotch.proof.load.overload;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import org.HdrHistogram.Histogram;
+import org.sequoianotch.model.Criticality;
+import org.sequoianotch.proof.standin.Execution;
+
+/** Figures of one phase, for the time of its trigger unless stated otherwise. */
+final class PhaseReport {
+    static final String HEADER =
+            """
+            | phase | mode | offered/s | good/s | ideal/s | good of ideal | critical good/all | standard | sheddable \
+            | p50 ms | p99 ms | wasted work | retries/request | recovery s | busiest node |
+            | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |""";
+    private static final double MS_PER_S = 1_000.0;
+    private static final double PERCENT = 100.0;
+    private static final double US_PER_MS = 1_000.0;
+    private static final double WINDOW_MS = 500;
+    private static final double WINDOW_STEP_MS = 100;
+    private static final double RECOVERED = 0.95;
+    private static final int HIGHEST_US = 60_000_000;
+
+    private final Phase phase;
+    private final String mode;
+    private final double idealPerS;
+    private final double startMs;
+    private final double triggerAtMs;
+    private final double triggerEndMs;
+    private final double busiestPercent;
+    private final List<Sample> all;
+    private final List<Sample> during;
+    private final Map<String, List<Execution>> executions;
+
+    PhaseReport(
+            Phase phase,
+            String mode,
+            double idealPerS,
+            double startMs,
+            double triggerAtMs,
+            double triggerEndMs,
+            double busiestPercent,
+            List<Sample> samples,
+            Map<String, List<Execution>> executions) {
+        this.phase = phase;
+        this.mode = mode;
+        this.idealPerS = idealPerS;
+        this.startMs = startMs;
+        this.triggerAtMs = triggerAtMs;
+        this.triggerEndMs = triggerEndMs;
+        this.busiestPercent = busiestPercent;
+        this.all = List.copyOf(samples);
+        this.during = all.stream()
+                .filter(sample -> sample.scheduledAtMs() >= triggerAtMs && sample.scheduledAtMs() < triggerEndMs)
+                .toList();
+        this.executions = executions;
+    }
+
+    String row() {
+        double seconds = (triggerEndMs - triggerAtMs) / MS_PER_S;
+        long good = during.stream().filter(Sample::good).count();
+        Histogram latencies = new Histogram(HIGHEST_US, 3);
+        during.stream()
+                .filter(Sample::good)
+                .forEach(sample -> latencies.recordValue((long) Math.min(HIGHEST_US, sample.latencyMs() * US_PER_MS)));
+        return String.format(
+                Locale.ROOT,
+                "| %s | %s | %.0f | %.0f | %.0f | %.1f%% | %s | %s | %s | %.1f | %.1f | %.1f%% | %.3f | %s | %.0f%% |",
+                phase.code(),
+                mode,
+                during.size() / seconds,
+                good / seconds,
+                idealPerS,
+                good / seconds / idealPerS * PERCENT,
+                goodOf(Criticality.CRITICAL),
+                goodOf(Criticality.STANDARD),
+                goodOf(Criticality.SHEDDABLE),
+                latencies.getValueAtPercentile(50) / US_PER_MS,
+                latencies.getValueAtPercentile(99) / US_PER_MS,
+                wastedPercent(),
+                retriesPerRequest(),
+                recovery(),
+                busiestPercent);
+    }
+
+    private String goodOf(Criticality criticality) {
+        List<Sample> offered = during.stream()
+                .filter(sample -> sample.loadClass().criticality() == criticality)
+                .toList();
+        long good = offered.stream().filter(Sample::good).count();
+        return String.format(
+                Locale.ROOT, "%d/%d (%.1f%%)", good, offered.size(), PERCENT * good / Math.max(1, offered.size()));
+    }
+
+    private List<Execution> executionsDuring(String service) {
+        return executions.get(service).stream()
+                .filter(execution -> execution.startedAtMs() >= triggerAtMs && execution.startedAtMs() < triggerEndMs)
+                .toList();
+    }
+
+    /** Time that stand-ins worked for requests that were not good, as a share of all their work. */
+    private double wastedPercent() {
+        Set<String> goodIds = new HashSet<>();
+        all.stream().filter(Sample::good).forEach(sample -> goodIds.add(sample.requestId()));
+        double allMs = 0;
+        double wastedMs = 0;
+        for (String service : executions.keySet()) {
+            for (Execution execution : executionsDuring(service)) {
+                allMs += execution.workedMs();
+                wastedMs += goodIds.contains(execution.requestId()) ? 0 : execution.workedMs();
+            }
+        }
+        return allMs == 0 ? 0 : wastedMs * PERCENT / allMs;
+    }
+
+    /** Runs of one request at one service beyond the first, for each request of a client. */
+    private double retriesPerRequest() {
+        long retries = 0;
+        for (String service : executions.keySet()) {
+            Map<String, Integer> runs = new HashMap<>();
+            executionsDuring(service).forEach(execution -> runs.merge(execution.requestId(), 1, Integer::sum));
+            retries += runs.values().stream().mapToInt(count -> count - 1).sum();
+        }
+        return (double) retries / Math.max(1, during.size());
+    }
+
+    /** Time until two windows in a row, by scheduled start, have 95% of the goodput before the trigger. */
+    private String recovery() {
+        double beforeMs = triggerAtMs - startMs;
+        double wanted = RECOVERED * goodBetween(startMs, triggerAtMs) * WINDOW_MS / beforeMs;
+        double fromMs = phase.lasts() ? triggerAtMs : triggerEndMs;
+        double lastMs = all.stream().mapToDouble(Sample::scheduledAtMs).max().orElse(fromMs);
+        List<Double> starts = new ArrayList<>();
+        for (double atMs = fromMs; atMs + 2 * WINDOW_MS <= lastMs; atMs += WINDOW_STEP_MS) {
+            starts.add(atMs);
+        }
+        for (double atMs : starts) {
+            boolean recovered = goodBetween(atMs, atMs + WINDOW_MS) >= wanted
+                    && goodBetween(atMs + WINDOW_MS, atMs + 2 * WINDOW_MS) >= wanted;
+            if (recovered) {
+                return String.format(Locale.ROOT, "%.1f", (atMs - fromMs) / MS_PER_S);
+            }
+        }
+        return String.format(Locale.ROOT, "> %.1f", (lastMs - fromMs) / MS_PER_S);
+    }
+
+    private long goodBetween(double fromMs, double toMs) {
+        return all.stream()
+                .filter(sample -> sample.good() && sample.scheduledAtMs() >= fromMs && sample.scheduledAtMs() < toMs)
+                .count();
+    }
+}
--- /dev/null
+++ b/sequoianotch-proof/src/main/java/org/sequoianotch/proof/load/overload/PhaseRun.java
@@ -0,0 +1,138 @@
+package org.sequoianotch.proof.load.overload;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import org.sequoianotch.proof.load.CallOutcome;
+import org.sequoianotch.proof.load.OpenLoop;
+import org.sequoianotch.proof.load.ProcessUsage;
+import org.sequoianotch.proof.scenario.Deployment;
+import org.sequoianotch.proof.standin.Execution;
+import org.sequoianotch.proof.standin.StandIn;
+import org.sequoianotch.time.SystemClock;
+
+/** Runs one phase against a running deployment. One thread uses it. */
+final class PhaseRun {
+    static final long BEFORE_MS = 2_000;
+    private static final long CLIENT_TIMEOUT_MS = 4_000;
+    private static final long QUIET_MS = 500;
+    private static final long SEED = 20_261_204L;
+    private static final double PERCENT = 100.0;
+
+    private final LoadPlan plan;
+    private final CapacityModel model;
+    private final Deployment deployment;
+    private final Phase phase;
+    private final long triggerMs;
+    private final List<String> entryHosts;
+    private final List<Sample> samples = Collections.synchronizedList(new ArrayList<>());
+
+    PhaseRun(LoadPlan plan, CapacityModel model, Deployment deployment, Phase phase, long triggerMs) {
+        this.plan = plan;
+        this.model = model;
+        this.deployment = deployment;
+        this.phase = phase;
+        this.triggerMs = triggerMs;
+        this.entryHosts = phase.entryHosts(plan);
+    }
+
+    PhaseReport run(String mode) throws IOException, InterruptedException {
+        deployment.standIns().forEach(standIn -> standIn.log().clear());
+        Map<String, Double> cpuBeforeMs = cpuMs();
+        double capacity = model.capacityPerS();
+        double startMs = SystemClock.INSTANCE.monotonicMs();
+        Thread steady = load(Phase.STEADY_FACTOR * capacity, BEFORE_MS + 2 * triggerMs, 0);
+        Thread.sleep(BEFORE_MS);
+        double triggerAtMs = SystemClock.INSTANCE.monotonicMs();
+        Thread surge = load((phase.loadFactor() - Phase.STEADY_FACTOR) * capacity, triggerMs, 1);
+        phase.begin(plan, deployment);
+        Thread.sleep(triggerMs / 2);
+        phase.middle(plan, deployment);
+        sleepUntil(triggerAtMs + triggerMs);
+        phase.end(plan, deployment);
+        double triggerEndMs = SystemClock.INSTANCE.monotonicMs();
+        double busiestPercent = busiestPercent(cpuBeforeMs, cpuMs(), triggerEndMs - startMs);
+        steady.join();
+        surge.join();
+        Thread.sleep(QUIET_MS);
+        Map<String, List<Execution>> executions = executions();
+        phase.afterwards(plan, deployment);
+        double idealPerS = phase.idealPerS(model, plan, phase.loadFactor() * capacity);
+        return new PhaseReport(
+                phase, mode, idealPerS, startMs, triggerAtMs, triggerEndMs, busiestPercent, samples, executions);
+    }
+
+    /** Warms the processes up, so that the first phase is not measured with cold code. */
+    void warmUp(long durationMs) throws InterruptedException {
+        load(Phase.STEADY_FACTOR * model.capacityPerS(), durationMs, 2).join();
+    }
+
+    private static void sleepUntil(double atMs) throws InterruptedException {
+        Thread.sleep((long) Math.max(0, atMs - SystemClock.INSTANCE.monotonicMs()));
+    }
+
+    private Thread load(double perSecond, long durationMs, int stream) {
+        return Thread.ofPlatform().name("load-" + stream).start(() -> {
+            if (perSecond > 0) {
+                new OpenLoop().run(perSecond, durationMs, (index, scheduledAtMs) -> send(stream, index, scheduledAtMs));
+            }
+        });
+    }
+
+    private void send(int stream, int index, double scheduledAtMs) throws InterruptedException {
+        SplittableRandom random = new SplittableRandom(SEED + stream * 1_000_003L + index * 7_919L);
+        LoadClass loadClass = draw(random.nextDouble());
+        String key = loadClass.call().keyed() ? deployment.mintKey(entryHost(random)) : "";
+        CallOutcome outcome = new CallOutcome(0, "", "", "", 0);
+        for (int attempt = 0; attempt < phase.tries() && !outcome.isGood(); attempt++) {
+            outcome =
+                    deployment.caller(entryHost(random)).send(loadClass.call(), key, scheduledAtMs, CLIENT_TIMEOUT_MS);
+        }
+        String requestId = outcome.isGood() ? outcome.requestId() : "";
+        samples.add(new Sample(loadClass, scheduledAtMs, outcome.isGood(), requestId, outcome.latencyMs()));
+    }
+
+    private String entryHost(SplittableRandom random) {
+        return entryHosts.get(random.nextInt(entryHosts.size()));
+    }
+
+    private LoadClass draw(double point) {
+        double left = point;
+        for (LoadClass loadClass : plan.classes()) {
+            left -= loadClass.share();
+            if (left < 0) {
+                return loadClass;
+            }
+        }
+        return plan.classes().getLast();
+    }
+
+    private Map<String, List<Execution>> executions() {
+        Map<String, List<Execution>> byService = new HashMap<>();
+        for (StandIn standIn : deployment.standIns()) {
+            byService
+                    .computeIfAbsent(standIn.options().service().name(), service -> new ArrayList<>())
+                    .addAll(standIn.log().executions());
+        }
+        return byService;
+    }
+
+    private Map<String, Double> cpuMs() throws IOException {
+        Map<String, Double> usage = new HashMap<>();
+        for (String host : entryHosts) {
+            usage.put(host, ProcessUsage.of(deployment.node(host).pid()).cpuMs());
+        }
+        return usage;
+    }
+
+    private static double busiestPercent(Map<String, Double> before, Map<String, Double> after, double elapsedMs) {
+        return after.entrySet().stream()
+                .mapToDouble(entry -> (entry.getValue() - before.get(entry.getKey())) * PERCENT / elapsedMs)
+                .max()
+                .orElse(0);
+    }
+}
--- a/sequoianotch-proof/src/main/java/org/sequoianotch/proof/scenario/Deployment.java
+++ b/sequoianotch-proof/src/main/java/org/sequoianotch/proof/scenario/Deployment.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Collectors;
 import org.sequoianotch.model.ServiceName;
+import org.sequoianotch.proof.load.CallTemplate;
 import org.sequoianotch.proof.load.Caller;
 import org.sequoianotch.proof.standin.StandIn;
 import org.sequoianotch.proof.standin.StandInOptions;
@@ -34,6 +35,11 @@
     private static final int ADMIN_PORT = 18_083;
     private static final int EVENT_LOOP_THREADS = 2;
     private static final int ADDRESSES_PER_BLOCK = 250;
+    private static final long READY_TIMEOUT_MS = 30_000;
+    private static final long READY_POLL_MS = 50;
+    private static final long CALL_TIMEOUT_MS = 10_000;
+    /** A new ledger refuses keys minted before it was formed, with a margin of 1 s for clocks that differ. */
+    private static final long LEDGER_SETTLE_MS = 1_500;
     /** Number of the next deployment, mixed with the process id so that two runners do not share addresses. */
     private static final AtomicInteger NEXT = new AtomicInteger();
 
@@ -280,6 +286,53 @@
         return address(host, PEER_PORT);
     }
 
+    /**
+     * Waits until each node reaches each service, because nodes and backend servers need a moment to meet.
+     *
+     * @throws InterruptedException if the thread is interrupted
+     * @throws IllegalStateException if a node does not reach a service in time
+     */
+    public void awaitReady() throws InterruptedException {
+        CallTemplate[] probes = scenario.hosts().stream()
+                .map(Scenario.HostPlan::service)
+                .filter(service -> !service.isEmpty())
+                .distinct()
+                .map(service -> new CallTemplate("ready", "GET", "/" + service + "/ready", new byte[0], false))
+                .toArray(CallTemplate[]::new);
+        long endNs = System.nanoTime() + READY_TIMEOUT_MS * 1_000_000;
+        for (Scenario.HostPlan host : scenario.hosts()) {
+            Caller caller = caller(host.name());
+            for (CallTemplate probe : probes) {
+                while (!caller.send(probe, "", System.nanoTime() / 1e6, CALL_TIMEOUT_MS)
+                        .isGood()) {
+                    if (System.nanoTime() > endNs) {
+                        throw new IllegalStateException(
+                                "Host " + host.name() + " does not reach " + probe.path() + "\n" + logTails());
+                    }
+                    Thread.sleep(READY_POLL_MS);
+                }
+            }
+        }
+        if (scenario.hosts().stream().anyMatch(Scenario.HostPlan::ledger)) {
+            Thread.sleep(LEDGER_SETTLE_MS);
+        }
+    }
+
+    /**
+     * Has a node mint an idempotency key.
+     *
+     * @param host the host; not null
+     * @return the key, never null; empty if the node does not answer
+     * @throws InterruptedException if the thread is interrupted
+     */
+    public String mintKey(String host) throws InterruptedException {
+        CallTemplate mint = new CallTemplate("mint", "POST", "/v1/keys", new byte[0], false);
+        return caller(host)
+                .send(mint, "", System.nanoTime() / 1e6, CALL_TIMEOUT_MS)
+                .body()
+                .trim();
+    }
+
     /**
      * Returns the ends of all logs for a failure message.
      *
--- a/sequoianotch-proof/src/main/java/org/sequoianotch/proof/scenario/NodeProcess.java
+++ b/sequoianotch-proof/src/main/java/org/sequoianotch/proof/scenario/NodeProcess.java
@@ -119,6 +119,15 @@
         return process != null && process.isAlive();
     }
 
+    /**
+     * Returns the process id.
+     *
+     * @return the id of the process that was started last
+     */
+    public long pid() {
+        return running().pid();
+    }
+
     /**
      * Returns the end of the log for a failure message.
      *
--- a/sequoianotch-proof/src/main/java/org/sequoianotch/proof/scenario/ScenarioRunner.java
+++ b/sequoianotch-proof/src/main/java/org/sequoianotch/proof/scenario/ScenarioRunner.java
@@ -11,7 +11,6 @@
 import org.sequoianotch.model.BackendState;
 import org.sequoianotch.proof.load.CallOutcome;
 import org.sequoianotch.proof.load.CallTemplate;
-import org.sequoianotch.proof.load.Caller;
 import org.sequoianotch.proof.load.OpenLoop;
 import org.sequoianotch.proof.standin.Behaviour;
 import org.sequoianotch.proof.standin.StandIn;
@@ -22,11 +21,7 @@
  * <p>A runner runs one scenario once, on one thread.
  */
 public final class ScenarioRunner {
-    private static final long READY_TIMEOUT_MS = 30_000;
-    private static final long READY_POLL_MS = 50;
     private static final int DEFAULT_TIMEOUT_MS = 10_000;
-    /** A new ledger refuses keys minted before it was formed, with a margin of 1 s for clocks that differ. */
-    private static final long LEDGER_SETTLE_MS = 1_500;
 
     private final Scenario scenario;
     private final Deployment deployment;
@@ -59,7 +54,7 @@
     public List<String> run() throws IOException, InterruptedException {
         try (deployment) {
             deployment.start();
-            awaitReady();
+            deployment.awaitReady();
             deployment.standIns().forEach(standIn -> standIn.log().clear());
             for (Scenario.Step step : scenario.steps()) {
                 long startedNs = System.nanoTime();
@@ -86,33 +81,6 @@
         return deployment.logTails();
     }
 
-    /** Waits until each node reaches each service, because nodes and backend servers need a moment to meet. */
-    private void awaitReady() throws InterruptedException {
-        CallTemplate[] probes = scenario.hosts().stream()
-                .map(Scenario.HostPlan::service)
-                .filter(service -> !service.isEmpty())
-                .distinct()
-                .map(service -> new CallTemplate("ready", "GET", "/" + service + "/ready", new byte[0], false))
-                .toArray(CallTemplate[]::new);
-        long endNs = System.nanoTime() + READY_TIMEOUT_MS * 1_000_000;
-        for (Scenario.HostPlan host : scenario.hosts()) {
-            Caller caller = deployment.caller(host.name());
-            for (CallTemplate probe : probes) {
-                while (!caller.send(probe, "", System.nanoTime() / 1e6, DEFAULT_TIMEOUT_MS)
-                        .isGood()) {
-                    if (System.nanoTime() > endNs) {
-                        throw new IllegalStateException(
-                                "Host " + host.name() + " does not reach " + probe.path() + "\n" + logTails());
-                    }
-                    Thread.sleep(READY_POLL_MS);
-                }
-            }
-        }
-        if (scenario.hosts().stream().anyMatch(Scenario.HostPlan::ledger)) {
-            Thread.sleep(LEDGER_SETTLE_MS);
-        }
-    }
-
     private void act(Scenario.Step step) throws IOException, InterruptedException {
         List<String> words = step.action();
         String object = words.size() > 1 ? words.get(1) : "";
@@ -121,7 +89,7 @@
             case "load" -> load(step);
             case "join" -> loads.get(object).join();
             case "sleep" -> Thread.sleep(Long.parseLong(object));
-            case "mint" -> mintedKeys.put(object, newKey(hostOf(step)));
+            case "mint" -> mintedKeys.put(object, deployment.mintKey(hostOf(step)));
             case "kill" -> deployment.node(object).kill();
             case "start" -> deployment.node(object).start();
             case "terminate" -> deployment.node(object).terminate();
@@ -133,7 +101,7 @@
             case "drain-backend" -> deployment.standIn(object).announce(BackendState.DRAINING);
             case "behave" -> behave(step, deployment.standIn(object));
             case "lose-disk" -> deployment.loseDisk(object);
-            case "await-ready" -> awaitReady();
+            case "await-ready" -> deployment.awaitReady();
             case "send-garbage" -> RawBytes.send(deployment, object, step.option("as", ""));
             case "nothing" -> {}
             default -> throw new IllegalArgumentException(scenario.name() + ": no such action " + words);
@@ -149,15 +117,6 @@
         standIn.setBehaviour(behaviour);
     }
 
-    private String newKey(String host) throws InterruptedException {
-        CallTemplate mint = new CallTemplate("mint", "POST", "/v1/keys", new byte[0], false);
-        return deployment
-                .caller(host)
-                .send(mint, "", System.nanoTime() / 1e6, DEFAULT_TIMEOUT_MS)
-                .body()
-                .trim();
-    }
-
     private String hostOf(Scenario.Step step) {
         String[] hosts = step.option("at", scenario.hosts().get(0).name()).split("/");
         return hosts[ThreadLocalRandom.current().nextInt(hosts.length)];
@@ -195,7 +154,7 @@
         boolean keys = step.action().contains("keys");
         Thread thread = Thread.ofPlatform().name("load-" + step.name()).start(() -> new OpenLoop()
                 .run(perSecond, durationMs, (index, scheduledAtMs) -> {
-                    String key = keys ? newKey(hostOf(step)) : "";
+                    String key = keys ? deployment.mintKey(hostOf(step)) : "";
                     for (int attempt = 0; attempt < step.number("tries", 1); attempt++) {
                         if (send(step, template, key, scheduledAtMs)) {
                             return;
--- a/sequoianotch-proof/src/main/java/org/sequoianotch/proof/standin/Execution.java
+++ b/sequoianotch-proof/src/main/java/org/sequoianotch/proof/standin/Execution.java
@@ -13,7 +13,8 @@
  * @param method the HTTP method; not null
  * @param path path and query; not null
  * @param bodyBytes bytes of the request body that arrived; not negative
- * @param workedMs time that it worked, in milliseconds; not negative
+ * @param startedAtMs time at which it began, on the monotonic clock, in milliseconds
+ * @param workedMs time for which it held a slot, without waiting and sub-calls, in milliseconds; not negative
  * @param result how it ended; not null
  */
 public record Execution(
@@ -22,6 +23,7 @@
         String method,
         String path,
         long bodyBytes,
+        double startedAtMs,
         double workedMs,
         Result result) {
     /** How an execution ended. */
--- a/sequoianotch-proof/src/main/java/org/sequoianotch/proof/standin/ExecutionLog.java
+++ b/sequoianotch-proof/src/main/java/org/sequoianotch/proof/standin/ExecutionLog.java
@@ -20,7 +20,14 @@
         executions.set(
                 index,
                 new Execution(
-                        begun.requestId(), begun.key(), begun.method(), begun.path(), bodyBytes, workedMs, result));
+                        begun.requestId(),
+                        begun.key(),
+                        begun.method(),
+                        begun.path(),
+                        bodyBytes,
+                        begun.startedAtMs(),
+                        workedMs,
+                        result));
     }
 
     /**
--- a/sequoianotch-proof/src/main/java/org/sequoianotch/proof/standin/StandIn.java
+++ b/sequoianotch-proof/src/main/java/org/sequoianotch/proof/standin/StandIn.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoopGroup;
 import io.vavr.control.Either;
+import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -82,6 +83,15 @@
         return log;
     }
 
+    /**
+     * Returns the address that it listens on.
+     *
+     * @return the bound address, never null
+     */
+    public InetSocketAddress address() {
+        return listener.address();
+    }
+
     /**
      * Returns the options.
      *
@@ -131,15 +141,16 @@
                 exchange.method(),
                 exchange.uri(),
                 0,
+                clock.monotonicMs(),
                 0,
                 Execution.Result.RUNNING));
-        double startedAtMs = clock.monotonicMs();
         long[] bodyBytes = new long[1];
+        double[] workedMs = new double[1];
         Execution.Result result = Execution.Result.CANCELLED;
         try {
-            result = serve(exchange, cancelled, bodyBytes);
+            result = serve(exchange, cancelled, bodyBytes, workedMs);
         } finally {
-            log.end(index, result, clock.monotonicMs() - startedAtMs, bodyBytes[0]);
+            log.end(index, result, workedMs[0], bodyBytes[0]);
             if (result == Execution.Result.CANCELLED) {
                 exchange.abort();
             }
@@ -151,7 +162,8 @@
         return parts.length > 1 ? parts[1] : "";
     }
 
-    private Execution.Result serve(HttpExchange exchange, CompletableFuture<Void> cancelled, long[] bodyBytes)
+    private Execution.Result serve(
+            HttpExchange exchange, CompletableFuture<Void> cancelled, long[] bodyBytes, double[] workedMs)
             throws InterruptedException {
         Behaviour now = behaviour;
         while (true) {
@@ -168,7 +180,7 @@
             exchange.respond(WholeResponse.ofText(SERVER_ERROR, "text/plain", "error by request of the test\n"));
             return Execution.Result.FAILED;
         }
-        if (!work(now, cancelled)) {
+        if (!work(now, cancelled, workedMs)) {
             return Execution.Result.CANCELLED;
         }
         Optional<String> failed = callOthers(exchange, cancelled);
@@ -182,8 +194,10 @@
         return answer(exchange, now, bodyBytes[0]);
     }
 
-    private boolean work(Behaviour now, CompletableFuture<Void> cancelled) throws InterruptedException {
+    private boolean work(Behaviour now, CompletableFuture<Void> cancelled, double[] workedMs)
+            throws InterruptedException {
         slots.acquire();
+        double startedAtMs = clock.monotonicMs();
         try {
             if (now.hang()) {
                 return !waitFor(cancelled, Long.MAX_VALUE / 2);
@@ -192,6 +206,7 @@
             return workUs == 0 ? !cancelled.isDone() : !waitFor(cancelled, workUs);
         } finally {
             slots.release();
+            workedMs[0] = clock.monotonicMs() - startedAtMs;
         }
     }
 
