--- a/sequoianotch-proof/src/main/java/org/sequoianotch/proof/load/overload/LoadPlan.java
+++ b/sequoianotch-proof/src/main/java/org/sequoianotch/proof/load/overload/LoadPlan.java
@@ -83,6 +83,7 @@
         return new LoadClass(
                 Criticality.valueOf(required(values, "criticality").toUpperCase(Locale.ROOT)),
                 new CallTemplate(name, request[0], request[1], body, keyed),
+                Long.parseLong(required(values, "patience_ms")),
                 Double.parseDouble(required(values, "share")) / shares);
     }
 
--- a/sequoianotch-proof/src/main/java/org/sequoianotch/proof/load/overload/PhaseReport.java
+++ b/sequoianotch-proof/src/main/java/org/sequoianotch/proof/load/overload/PhaseReport.java
@@ -97,6 +97,23 @@
                 Locale.ROOT, "%d/%d (%.1f%%)", good, offered.size(), PERCENT * good / Math.max(1, offered.size()));
     }
 
+    /** Counts the failures of the trigger's time by class and kind, the most frequent first. */
+    private List<String> failures() {
+        Map<String, Integer> counts = new HashMap<>();
+        during.stream()
+                .filter(sample -> !sample.good())
+                .forEach(sample ->
+                        counts.merge(sample.loadClass().call().name() + " " + sample.failure(), 1, Integer::sum));
+        return counts.entrySet().stream()
+                .sorted(Map.Entry.<String, Integer>comparingByValue().reversed())
+                .map(entry -> entry.getKey() + " " + entry.getValue())
+                .toList();
+    }
+
+    String failuresRow() {
+        return "| " + phase.code() + " | " + mode + " | " + String.join(", ", failures()) + " |";
+    }
+
     private List<Execution> executionsDuring(String service) {
         return executions.get(service).stream()
                 .filter(execution -> execution.startedAtMs() >= triggerAtMs && execution.startedAtMs() < triggerEndMs)
--- a/sequoianotch-proof/src/main/java/org/sequoianotch/proof/load/overload/Sample.java
+++ b/sequoianotch-proof/src/main/java/org/sequoianotch/proof/load/overload/Sample.java
@@ -7,8 +7,12 @@
  *
  * @param loadClass class of the request; not null
  * @param scheduledAtMs scheduled start on the monotonic clock, in milliseconds
- * @param good whether a try was good
+ * @param failure how the last try failed: an error kind, a status, or that no answer came; empty if the request is good
  * @param requestId request id of the good try; empty if there was none
  * @param latencyMs time from the scheduled start to the end of the last try, in milliseconds
  */
-record Sample(LoadClass loadClass, double scheduledAtMs, boolean good, String requestId, double latencyMs) {}
+record Sample(LoadClass loadClass, double scheduledAtMs, String failure, String requestId, double latencyMs) {
+    boolean good() {
+        return failure.isEmpty();
+    }
+}
