Lower the admission level for calls that fail because of a refused sub-call

Cause: a backend server whose sub-call was refused answers 502, which counted as an error of its own. Its node did not learn that the work was wasted, so lookups went on to specdesk and jobbook and were refused at bellcat. Change: the node notes that a sub-call ended with 502 to 504 before it tells the backend server, and counts a following error as SHED_BELOW, which lowers the admission level but not the concurrency limit. Ruled out: counting it as OVERLOADED, since that lowers the limit of a service that is not overloaded itself.

--- a/sequoianotch-policy/src/main/java/org/sequoianotch/policy/admission/ConcurrencyLimit.java
+++ b/sequoianotch-policy/src/main/java/org/sequoianotch/policy/admission/ConcurrencyLimit.java
@@ -99,7 +99,9 @@
 
     /** Takes in one call that ended. Results that say nothing about the load are ignored. */
     void onEnd(double nowMs, CallResult result, double latencyMs, int inFlight) {
-        if (result == CallResult.CANCELLED || result == CallResult.FAILED || nowMs < windowStartMs) {
+        boolean saysNothing =
+                result == CallResult.CANCELLED || result == CallResult.FAILED || result == CallResult.SHED_BELOW;
+        if (saysNothing || nowMs < windowStartMs) {
             return;
         }
         if (result.isSignOfOverload()) {
