--- a/sequoianotch-proof/src/main/java/org/sequoianotch/proof/load/overload/PhaseReport.java
+++ b/sequoianotch-proof/src/main/java/org/sequoianotch/proof/load/overload/PhaseReport.java
@@ -16,8 +16,8 @@
     static final String HEADER =
             """
             | phase | mode | offered/s | good/s | ideal/s | good of ideal | critical good/all | standard | sheddable \
-            | p50 ms | p99 ms | wasted work | retries/request | recovery s | busiest node |
-            | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |""";
+            | p50 ms | p99 ms | wasted work | retries/request | recovery s | busiest node | late start p99 ms |
+            | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |""";
     private static final double MS_PER_S = 1_000.0;
     private static final double PERCENT = 100.0;
     private static final double US_PER_MS = 1_000.0;
@@ -68,9 +68,13 @@
         during.stream()
                 .filter(Sample::good)
                 .forEach(sample -> latencies.recordValue((long) Math.min(HIGHEST_US, sample.latencyMs() * US_PER_MS)));
+        Histogram delays = new Histogram(HIGHEST_US, 3);
+        during.forEach(
+                sample -> delays.recordValue((long) Math.clamp(sample.startDelayMs() * US_PER_MS, 0, HIGHEST_US)));
         return String.format(
                 Locale.ROOT,
-                "| %s | %s | %.0f | %.0f | %.0f | %.1f%% | %s | %s | %s | %.1f | %.1f | %.1f%% | %.3f | %s | %.0f%% |",
+                "| %s | %s | %.0f | %.0f | %.0f | %.1f%% | %s | %s | %s | %.1f | %.1f | %.1f%% | %.3f | %s | %.0f%%"
+                        + " | %.1f |",
                 phase.code(),
                 mode,
                 during.size() / seconds,
@@ -85,7 +89,8 @@
                 wastedPercent(),
                 retriesPerRequest(),
                 recovery(),
-                busiestPercent);
+                busiestPercent,
+                delays.getValueAtPercentile(99) / US_PER_MS);
     }
 
     private String goodOf(Criticality criticality) {
--- a/sequoianotch-proof/src/main/java/org/sequoianotch/proof/load/overload/PhaseRun.java
+++ b/sequoianotch-proof/src/main/java/org/sequoianotch/proof/load/overload/PhaseRun.java
@@ -83,6 +83,7 @@
     }
 
     private void send(int stream, int index, double scheduledAtMs) throws InterruptedException {
+        double startDelayMs = SystemClock.INSTANCE.monotonicMs() - scheduledAtMs;
         SplittableRandom random = new SplittableRandom(SEED + stream * 1_000_003L + index * 7_919L);
         LoadClass loadClass = draw(random.nextDouble());
         String key = loadClass.call().keyed() ? deployment.mintKey(entryHost(random)) : "";
@@ -95,7 +96,8 @@
             outcome = deployment.caller(entryHost(random)).send(loadClass.call(), key, scheduledAtMs, (long) leftMs);
         }
         String requestId = outcome.isGood() ? outcome.requestId() : "";
-        samples.add(new Sample(loadClass, scheduledAtMs, failureOf(outcome), requestId, outcome.latencyMs()));
+        samples.add(
+                new Sample(loadClass, scheduledAtMs, startDelayMs, failureOf(outcome), requestId, outcome.latencyMs()));
     }
 
     private static String failureOf(CallOutcome outcome) {
