Do not retry an error of a chain that sheds calls of that criticality

Cause: the answer 502 of a backend server whose sub-call was refused was repeated at another instance. The budget's burst of 10 retries for each node and service was spent at every hop on calls that the chain refused again. Ruled out: a smaller burst, since retries after refusals by one busy instance need it.

--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/CallForwarder.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/CallForwarder.java
@@ -10,6 +10,7 @@
 import org.sequoianotch.daemon.explain.Journal;
 import org.sequoianotch.error.ErrorKind;
 import org.sequoianotch.error.Failure;
+import org.sequoianotch.model.Criticality;
 import org.sequoianotch.model.HostId;
 import org.sequoianotch.model.Instance;
 import org.sequoianotch.policy.retry.RetryQuestion;
@@ -84,7 +85,8 @@
             }
             progress.add(failure.get());
             recordFailure(outbound, context, instance, failure.get());
-            if (!mayRetry(outbound, context, body, progress, failure.get())) {
+            if (isShedBelow(answer, context.criticality())
+                    || !mayRetry(outbound, context, body, progress, failure.get())) {
                 return answer.isRight()
                         ? new ForwardResult(answer, progress.attempts)
                         : end(progress, context, failure.get());
@@ -133,6 +135,16 @@
         return Optional.empty();
     }
 
+    /** Tells whether the answer is an error of a chain that sheds calls of this criticality, so a retry is shed too. */
+    private static boolean isShedBelow(Either<Failure, OpenAnswer> answer, Criticality criticality) {
+        return answer.isRight()
+                && answer.get()
+                        .call()
+                        .trailer()
+                        .filter(trailer -> trailer.load().admittedFraction(criticality) < 1)
+                        .isPresent();
+    }
+
     private boolean mayRetry(
             OutboundCall outbound, RequestContext context, ReplayBody body, Progress progress, Failure failure) {
         if (context.cancellation().isPresent() || !body.rewind()) {
