--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/InstanceServer.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/InstanceServer.java
@@ -171,11 +171,13 @@
 
     private static CallResult resultOf(Either<Failure, Integer> answered, RequestContext context) {
         if (answered.isRight()) {
-            if (answered.get() < SERVER_ERROR) {
-                return CallResult.ANSWERED;
+            if (answered.get() >= SERVER_ERROR && context.hasFailedSubCall()) {
+                return CallResult.SHED_BELOW;
             }
-            boolean shed = answered.get() == SERVICE_UNAVAILABLE || context.isSubCallShed();
-            return shed ? CallResult.OVERLOADED : CallResult.FAILED;
+            if (answered.get() == SERVICE_UNAVAILABLE) {
+                return CallResult.OVERLOADED;
+            }
+            return answered.get() >= SERVER_ERROR ? CallResult.FAILED : CallResult.ANSWERED;
         }
         Optional<Failure> cancellation = context.cancellation();
         if (cancellation.isPresent() && cancellation.get().kind() == ErrorKind.CALLER_GONE) {
