Add a relay, cuts and control group steps to the scenarios

A relay in the runner's process stands in front of each peer listener, for TCP and UDP, if a scenario asks for it. Control hosts, template changes over the admin API and a watch on every node's revision come with it. First scenarios: silent-link, data-centre-cut-off and control-leader-killed.

--- a/sequoianotch-proof/src/main/java/org/sequoianotch/proof/scenario/Checks.java
+++ b/sequoianotch-proof/src/main/java/org/sequoianotch/proof/scenario/Checks.java
@@ -4,23 +4,32 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Function;
+import java.util.stream.Stream;
 import org.sequoianotch.proof.standin.Execution;
 import org.sequoianotch.proof.standin.StandIn;
 
 /** Evaluates the checks of a step. One thread uses it. */
 final class Checks {
     private static final double PERCENT = 100.0;
+    private static final int MAX_ANSWERS_SHOWN = 4;
 
     private final History history;
     private final Deployment deployment;
     private final Map<String, Integer> exitCodes;
     private final double elapsedMs;
+    private final ControlSteps control;
 
-    Checks(History history, Deployment deployment, Map<String, Integer> exitCodes, double elapsedMs) {
+    Checks(
+            History history,
+            Deployment deployment,
+            Map<String, Integer> exitCodes,
+            double elapsedMs,
+            ControlSteps control) {
         this.history = history;
         this.deployment = deployment;
         this.exitCodes = exitCodes;
         this.elapsedMs = elapsedMs;
+        this.control = control;
     }
 
     /** Evaluates a check such as {@code status = 200} or {@code runs specdesk /doors <= 3}. */
@@ -41,9 +50,16 @@
             case "runs" -> compare(step, check, runs(words[1], words[2]), comparison, wanted);
             case "good" -> compare(step, check, goodPercent(words[1]), comparison, wanted);
             case "told" -> compare(step, check, told(words[1], words[2]), comparison, wanted);
-            case "exit" -> compare(step, check, exitCodes.getOrDefault(words[1], -1), comparison, wanted);
+            case "unanswered" -> compare(step, check, unanswered(words[1]), comparison, wanted);
+            case "change" -> changes(step, check, words);
+            case "loser-told" -> compare(step, check, loserTold(words[1], words[2]), comparison, wanted);
+            case "same-answer" -> compare(step, check, sameAnswer(words[1], words[2]), comparison, wanted);
+            case "revision" -> compare(step, check, control.newestRevision(words[1]), comparison, wanted);
+            case "lowest-revision" -> compare(step, check, control.lowestRevision(words[1]), comparison, wanted);
+            case "mentions" -> compare(step, check, mentions(step, words[1]), comparison, wanted);
+            case "exit" -> compare(step, check, exitCodes.getOrDefault(control.resolve(words[1]), -1), comparison, wanted);
             case "elapsed" -> compare(step, check, elapsedMs, comparison, wanted);
-            case "alive" -> compare(step, check, deployment.node(words[1]).isAlive() ? 1 : 0, comparison, wanted);
+            case "alive" -> compare(step, check, deployment.node(control.resolve(words[1])).isAlive() ? 1 : 0, comparison, wanted);
             default -> throw new IllegalArgumentException("No such check: " + check);
         };
     }
@@ -90,6 +106,65 @@
                 .count();
     }
 
+    private long unanswered(String load) {
+        return history.entries(load).stream()
+                .filter(entry -> entry.outcome().status() == 0)
+                .count();
+    }
+
+    /** Counts answers of changes: {@code change accepted STEP … = N}, or another code of an answer. */
+    private Optional<String> changes(String step, String check, String[] words) {
+        List<String> steps = List.of(words).subList(2, words.length - 2);
+        List<TemplateAnswer> answers = steps.stream()
+                .flatMap(name -> history.templateAnswers(name).stream())
+                .toList();
+        long count = answers.stream()
+                .filter(answer -> answer.code().equals(words[1]))
+                .count();
+        return compare(step, check, count, words[words.length - 2], words[words.length - 1])
+                .map(sentence -> sentence + " Answers: "
+                        + answers.stream()
+                                .map(answer -> answer.code() + " " + answer.body())
+                                .limit(MAX_ANSWERS_SHOWN)
+                                .toList());
+    }
+
+    /** Tells whether the refused one of two changes was told the operator and the value of the accepted one. */
+    private long loserTold(String one, String other) {
+        List<TemplateAnswer> answers = Stream.of(one, other)
+                .flatMap(name -> history.templateAnswers(name).stream())
+                .toList();
+        Optional<TemplateAnswer> winner =
+                answers.stream().filter(TemplateAnswer::isAccepted).findFirst();
+        Optional<TemplateAnswer> loser =
+                answers.stream().filter(answer -> !answer.isAccepted()).findFirst();
+        if (winner.isEmpty() || loser.isEmpty()) {
+            return 0;
+        }
+        TemplateAnswer.Change won = winner.get().change();
+        String told = loser.get().body();
+        String value = won.label().substring(won.label().indexOf('=') + 1);
+        return told.contains(won.operator()) && told.contains(value) ? 1 : 0;
+    }
+
+    /** Tells whether two steps with one answer each were answered alike: the code, the revision and the text. */
+    private long sameAnswer(String one, String other) {
+        List<TemplateAnswer> first = history.templateAnswers(one);
+        List<TemplateAnswer> second = history.templateAnswers(other);
+        return first.size() == 1
+                        && second.size() == 1
+                        && first.get(0).code().equals(second.get(0).code())
+                        && first.get(0).body().equals(second.get(0).body())
+                ? 1
+                : 0;
+    }
+
+    private long mentions(String step, String word) {
+        boolean inAnswer = history.templateAnswers(step).stream()
+                .anyMatch(answer -> answer.body().contains(word));
+        return inAnswer || history.text(step).contains(word) ? 1 : 0;
+    }
+
     private static Optional<String> compare(
             String step, String check, double actual, String comparison, String wantedText) {
         double wanted = Double.parseDouble(wantedText);
--- /dev/null
+++ b/sequoianotch-proof/src/main/java/org/sequoianotch/proof/scenario/ControlSteps.java
@@ -0,0 +1,254 @@
+package org.sequoianotch.proof.scenario;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * The steps and checks of a scenario that concern the control group and the revisions in force.
+ *
+ * <p>Steps may run on several threads.
+ */
+final class ControlSteps implements AutoCloseable {
+    private static final String ORGANISATION = "lone-star-bellworks";
+    private static final int AWAIT_MS = 30_000;
+    private static final long POLL_MS = 20;
+    private static final long REPEAT_MS = 100;
+
+    private final Scenario scenario;
+    private final Deployment deployment;
+    private final History history;
+    private final Path template;
+    private final AdminClient admin;
+    private final RevisionWatch watch;
+    private final Map<String, String> aliases = new ConcurrentHashMap<>();
+    private final List<String> violations = new ArrayList<>();
+    /** Revision of the newest accepted change, which {@code latest} stands for. */
+    private final AtomicLong latest = new AtomicLong();
+
+    ControlSteps(Scenario scenario, Deployment deployment, History history, Path template) {
+        this.scenario = scenario;
+        this.deployment = deployment;
+        this.history = history;
+        this.template = template;
+        this.admin = new AdminClient(deployment::adminAddress);
+        this.watch = new RevisionWatch(admin);
+    }
+
+    /** Begins to watch the revisions, if the scenario has a control group. */
+    void start() {
+        if (!controlHosts().isEmpty()) {
+            watch.start(scenario.hosts().stream().map(Scenario.HostPlan::name).toList());
+        }
+    }
+
+    private List<String> controlHosts() {
+        return scenario.hosts().stream()
+                .filter(Scenario.HostPlan::control)
+                .map(Scenario.HostPlan::name)
+                .toList();
+    }
+
+    /** Takes a step, and tells whether it is one of the control group. */
+    boolean act(Scenario.Step step) throws IOException, InterruptedException {
+        switch (step.action().get(0)) {
+            case "apply" -> apply(step, 1);
+            case "apply-many" -> apply(step, Integer.parseInt(step.action().get(1)));
+            case "await-revision" -> awaitRevision(step);
+            case "await-drained" -> awaitDrained(step);
+            case "await-log" -> awaitLog(step);
+            case "find-leader" -> findLeader(step);
+            case "show-templates" -> history.addText(
+                    step.name(), admin.templates(resolve(step.action().get(1))).toString());
+            default -> {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /** Returns the host that an alias of {@code find-leader} stands for, or the word itself. */
+    String resolve(String word) {
+        return aliases.getOrDefault(word, word);
+    }
+
+    void restarted(String host) {
+        watch.restarted(host);
+    }
+
+    long newestRevision(String host) {
+        return watch.newest(resolve(host));
+    }
+
+    long lowestRevision(String host) {
+        return watch.lowest(resolve(host));
+    }
+
+    List<String> violations() {
+        List<String> all = new ArrayList<>(violations);
+        all.addAll(watch.violations());
+        return all;
+    }
+
+    private long revision(String word) {
+        return word.equals("latest") ? latest.get() : Long.parseLong(word);
+    }
+
+    /**
+     * Submits changes one after the other, such as {@code apply deadline_ms=2100 expect latest at a as change-01 by
+     * bob}. With {@code tries}, a change without an answer from the group is sent again with the same id.
+     */
+    private void apply(Scenario.Step step, int count) throws IOException, InterruptedException {
+        for (int i = 0; i < count; i++) {
+            String label = count == 1 ? step.action().get(1) : "deadline_ms=" + (2_001 + i);
+            String changeId = step.option(
+                    "as",
+                    "change-" + Long.toHexString(ThreadLocalRandom.current().nextLong()));
+            TemplateAnswer.Change change = new TemplateAnswer.Change(
+                    ORGANISATION,
+                    changed(label),
+                    label,
+                    revision(step.option("expect", "latest")),
+                    changeId,
+                    step.option("by", "alice"));
+            TemplateAnswer answer = admin.apply(change, hostOf(step));
+            for (int left = step.number("tries", 1) - 1; left > 0 && isOpen(answer); left--) {
+                history.add(step.name() + " before", answer);
+                Thread.sleep(REPEAT_MS);
+                answer = admin.apply(change, hostOf(step));
+            }
+            history.add(step.name(), answer);
+            if (answer.isAccepted()) {
+                latest.accumulateAndGet(answer.revision(), Math::max);
+            }
+        }
+    }
+
+    private static boolean isOpen(TemplateAnswer answer) {
+        return Set.of("in_doubt", "no_majority", "no_answer").contains(answer.code());
+    }
+
+    private String hostOf(Scenario.Step step) {
+        String[] hosts = step.option("at", scenario.hosts().get(0).name()).split("/");
+        return resolve(hosts[ThreadLocalRandom.current().nextInt(hosts.length)]);
+    }
+
+    /** Returns the template of the scenarios with the first line of one setting replaced. */
+    private String changed(String label) throws IOException {
+        String[] parts = label.split("=", 2);
+        String text = Files.readString(template);
+        Matcher line =
+                Pattern.compile("(?m)^" + Pattern.quote(parts[0]) + " = .*$").matcher(text);
+        if (parts.length != 2 || !line.find()) {
+            throw new IllegalArgumentException("The template has no setting that fits " + label);
+        }
+        return line.replaceFirst(parts[0] + " = " + parts[1]);
+    }
+
+    /** {@code await-revision N within MS [at a/b]}: waits until these nodes, or all that run, have the revision. */
+    private void awaitRevision(Scenario.Step step) throws InterruptedException {
+        long wanted = revision(step.action().get(1));
+        await(step, () -> {
+            Set<String> behind = new HashSet<>();
+            for (String host : observers(step)) {
+                if (admin.revision(host).orElse(-1) < wanted) {
+                    behind.add(host);
+                }
+            }
+            return behind.isEmpty() ? "" : "hosts " + behind + " are not on revision " + wanted;
+        });
+    }
+
+    private List<String> observers(Scenario.Step step) {
+        String at = step.option("at", "");
+        if (!at.isEmpty()) {
+            return List.of(at.split("/")).stream().map(this::resolve).toList();
+        }
+        return scenario.hosts().stream()
+                .map(Scenario.HostPlan::name)
+                .filter(host -> deployment.node(host).isAlive())
+                .toList();
+    }
+
+    /** {@code await-drained HOST within MS}: waits until no node sees the host's instances as serving. */
+    private void awaitDrained(Scenario.Step step) throws InterruptedException {
+        String drained = resolve(step.action().get(1));
+        await(step, () -> {
+            for (String observer : observers(step)) {
+                for (JsonNode service : admin.status(observer).path("services")) {
+                    for (JsonNode instance : service.path("instances")) {
+                        if (instance.path("host").asText().equals(drained)
+                                && instance.path("state").asText().equals("serving")) {
+                            return "host " + observer + " still counts on host " + drained;
+                        }
+                    }
+                }
+            }
+            return "";
+        });
+    }
+
+    /** {@code await-log HOST WORD within MS}: waits until the log of a node has a word. */
+    private void awaitLog(Scenario.Step step) throws InterruptedException {
+        String host = resolve(step.action().get(1));
+        String word = step.action().get(2);
+        await(step, () -> deployment.node(host).logContains(word) ? "" : "the log of " + host + " lacks " + word);
+    }
+
+    /** Sets the aliases {@code leader}, {@code follower} and {@code third}, once the control hosts agree. */
+    private void findLeader(Scenario.Step step) throws InterruptedException {
+        await(step, () -> {
+            Set<String> leaders = new HashSet<>();
+            for (String host : controlHosts()) {
+                if (deployment.node(host).isAlive()) {
+                    leaders.add(admin.status(host).path("leader").asText(""));
+                }
+            }
+            if (leaders.size() != 1 || !controlHosts().containsAll(leaders)) {
+                return "the control hosts name the leaders " + leaders;
+            }
+            String leader = leaders.iterator().next();
+            List<String> others = new ArrayList<>(controlHosts());
+            others.remove(leader);
+            aliases.put("leader", leader);
+            aliases.put("follower", others.get(0));
+            aliases.put("third", others.get(others.size() - 1));
+            return "";
+        });
+    }
+
+    private interface Condition {
+        /** Returns an empty text if the condition holds, and otherwise what keeps it from holding. */
+        String missing() throws InterruptedException;
+    }
+
+    private void await(Scenario.Step step, Condition condition) throws InterruptedException {
+        int limitMs = step.number("within", AWAIT_MS);
+        long endNs = System.nanoTime() + limitMs * 1_000_000L;
+        String missing = condition.missing();
+        while (!missing.isEmpty() && System.nanoTime() < endNs) {
+            Thread.sleep(POLL_MS);
+            missing = condition.missing();
+        }
+        if (!missing.isEmpty()) {
+            violations.add("Step " + step.name() + ": after " + limitMs + " ms " + missing + ".");
+        }
+    }
+
+    @Override
+    public void close() {
+        watch.close();
+        admin.close();
+    }
+}
--- a/sequoianotch-proof/src/main/java/org/sequoianotch/proof/scenario/Deployment.java
+++ b/sequoianotch-proof/src/main/java/org/sequoianotch/proof/scenario/Deployment.java
@@ -33,6 +33,9 @@
     private static final int PEER_PORT = 18_082;
     private static final int ADMIN_PORT = 18_083;
     private static final int EVENT_LOOP_THREADS = 2;
+    /** The relay of host number n has the address with number n plus this. */
+    private static final int RELAY_NUMBER_OFFSET = 100;
+
     private static final int ADDRESSES_PER_BLOCK = 250;
     /** Number of the next deployment, mixed with the process id so that two runners do not share addresses. */
     private static final AtomicInteger NEXT = new AtomicInteger();
@@ -49,6 +52,7 @@
 
     private final Map<String, Caller> callers = new LinkedHashMap<>();
     private final List<Path> templates;
+    private final RelayNetwork network;
 
     /**
      * Creates a deployment that is not started.
@@ -63,6 +67,7 @@
         this.mode = mode;
         this.folder = folder;
         this.templates = List.copyOf(templates);
+        this.network = new RelayNetwork(scenario.hosts());
         int block = (int) (ProcessHandle.current().pid() % ADDRESSES_PER_BLOCK);
         this.addressPrefix = "127." + (1 + block) + "." + (NEXT.incrementAndGet() % ADDRESSES_PER_BLOCK) + ".";
     }
@@ -74,6 +79,12 @@
      * @throws InterruptedException if the thread is interrupted
      */
     public void start() throws IOException, InterruptedException {
+        if (scenario.relay()) {
+            for (Scenario.HostPlan host : scenario.hosts()) {
+                InetSocketAddress relay = parse(advertisedText(host.name()));
+                network.open(host.name(), relay, address(host.name(), PEER_PORT));
+            }
+        }
         for (Scenario.HostPlan host : scenario.hosts()) {
             Path settings = folder.resolve(host.name() + ".ini");
             Files.writeString(settings, settingsOf(host));
@@ -116,14 +127,14 @@
     private String settingsOf(Scenario.HostPlan host) {
         String ledgerHosts = scenario.hosts().stream()
                 .filter(Scenario.HostPlan::ledger)
-                .map(plan -> plan.dataCentre() + "=" + addressText(plan.name(), PEER_PORT))
+                .map(plan -> plan.dataCentre() + "=" + advertisedText(plan.name()))
                 .collect(Collectors.joining(", "));
         String dataCentres = scenario.hosts().stream()
                 .map(Scenario.HostPlan::dataCentre)
                 .distinct()
                 .collect(Collectors.joining(", "));
         String seeds = scenario.hosts().stream()
-                .map(plan -> addressText(plan.name(), PEER_PORT))
+                .map(plan -> advertisedText(plan.name()))
                 .limit(2)
                 .collect(Collectors.joining(", "));
         String templateFiles = templates.stream().map(Path::toString).collect(Collectors.joining(", "));
@@ -143,19 +154,41 @@
                 "listen = " + addressText(host.name(), BACKEND_PORT),
                 "host_address = " + addressPrefix + number(host.name()),
                 "lease_ms = 2000");
-        section(text, "peer", "listen = " + addressText(host.name(), PEER_PORT));
-        section(text, "admin", "listen = " + addressText(host.name(), ADMIN_PORT));
+        section(
+                text,
+                "peer",
+                "listen = " + addressText(host.name(), PEER_PORT),
+                "advertise = " + (scenario.relay() ? advertisedText(host.name()) : ""));
+        section(text, "admin", "listen = " + addressText(host.name(), ADMIN_PORT), "operator_keys = " + operatorKeys());
         section(text, "membership", "seeds = " + seeds);
         section(
                 text,
                 "ledger",
                 "hosts = " + ledgerHosts,
                 "data_folder = " + (host.ledger() ? dataFolder(host.name()) : ""));
+        section(
+                text,
+                "control",
+                "hosts = " + controlHosts(),
+                "data_folder = " + (host.control() ? controlFolder(host.name()) : ""));
         section(text, "templates", "files = " + templateFiles);
         scenario.settings().forEach(setting -> override(text, setting));
         return text.toString();
     }
 
+    private String controlHosts() {
+        return scenario.hosts().stream()
+                .filter(Scenario.HostPlan::control)
+                .map(plan -> plan.name() + "=" + advertisedText(plan.name()))
+                .collect(Collectors.joining(", "));
+    }
+
+    private static String operatorKeys() {
+        return AdminClient.OPERATOR_KEYS.entrySet().stream()
+                .map(entry -> entry.getKey() + "=" + entry.getValue())
+                .collect(Collectors.joining(", "));
+    }
+
     private static void section(StringBuilder text, String name, String... lines) {
         text.append('[').append(name).append("]\n");
         for (String line : lines) {
@@ -179,13 +212,43 @@
         return folder.resolve(host + "-ledger");
     }
 
+    private Path controlFolder(String host) {
+        return folder.resolve(host + "-control");
+    }
+
     /**
      * Deletes the ledger's data folder of a host, as the loss of its disk would.
      *
      * @param host the host; not null
      */
     public void loseDisk(String host) {
-        try (var files = Files.walk(dataFolder(host))) {
+        delete(dataFolder(host));
+    }
+
+    /**
+     * Deletes the control group's data folder of a host, as the loss of its disk would.
+     *
+     * @param host the host; not null
+     */
+    public void loseControlDisk(String host) {
+        delete(controlFolder(host));
+    }
+
+    /**
+     * Inverts a byte in the middle of the control group's log on a host, as a failing disk would.
+     *
+     * @param host the host, whose node must not run; not null
+     * @throws IOException if the log cannot be changed
+     */
+    public void damageControlLog(String host) throws IOException {
+        Path log = controlFolder(host).resolve("log");
+        byte[] bytes = Files.readAllBytes(log);
+        bytes[bytes.length / 2] ^= (byte) 0xff;
+        Files.write(log, bytes);
+    }
+
+    private static void delete(Path folder) {
+        try (var files = Files.walk(folder)) {
             files.sorted(Comparator.reverseOrder())
                     .forEach(path -> path.toFile().delete());
         } catch (IOException e) {
@@ -210,8 +273,28 @@
         return addressPrefix + number(host) + ":" + port;
     }
 
+    /** Address under which other nodes reach the peer listener of a host. */
+    private String advertisedText(String host) {
+        int number = number(host) + (scenario.relay() ? RELAY_NUMBER_OFFSET : 0);
+        return addressPrefix + number + ":" + PEER_PORT;
+    }
+
     private InetSocketAddress address(String host, int port) {
-        return ValueKind.parseAddress(addressText(host, port)).orElseThrow();
+        return parse(addressText(host, port));
+    }
+
+    private static InetSocketAddress parse(String address) {
+        return ValueKind.parseAddress(address).orElseThrow();
+    }
+
+    /** Returns the relays, which have no host unless the scenario asks for them. */
+    RelayNetwork network() {
+        return network;
+    }
+
+    /** Returns the address of a host's admin listener. */
+    InetSocketAddress adminAddress(String host) {
+        return address(host, ADMIN_PORT);
     }
 
     /**
@@ -294,6 +377,7 @@
         callers.values().forEach(Caller::close);
         allStandIns.forEach(StandIn::close);
         nodes.values().stream().filter(NodeProcess::isAlive).forEach(NodeProcess::kill);
+        network.close();
         eventLoops.shutdownGracefully();
     }
 }
--- a/sequoianotch-proof/src/main/java/org/sequoianotch/proof/scenario/History.java
+++ b/sequoianotch-proof/src/main/java/org/sequoianotch/proof/scenario/History.java
@@ -1,7 +1,9 @@
 package org.sequoianotch.proof.scenario;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 import org.jspecify.annotations.Nullable;
 import org.sequoianotch.proof.load.CallOutcome;
@@ -9,6 +11,8 @@
 /** What callers sent and were told during a scenario. This class is thread-safe. */
 public final class History {
     private final List<Entry> entries = new ArrayList<>();
+    private final Map<String, List<TemplateAnswer>> templateAnswers = new HashMap<>();
+    private final Map<String, String> texts = new HashMap<>();
 
     /** Creates an empty history. */
     public History() {}
@@ -57,4 +61,25 @@
     public synchronized List<Entry> entries(String step) {
         return entries.stream().filter(entry -> entry.step().equals(step)).toList();
     }
+
+    synchronized void add(String step, TemplateAnswer answer) {
+        templateAnswers.computeIfAbsent(step, name -> new ArrayList<>()).add(answer);
+    }
+
+    synchronized List<TemplateAnswer> templateAnswers(String step) {
+        return List.copyOf(templateAnswers.getOrDefault(step, List.of()));
+    }
+
+    synchronized List<TemplateAnswer> templateAnswers() {
+        return templateAnswers.values().stream().flatMap(List::stream).toList();
+    }
+
+    /** Keeps a text that a step read from a node. */
+    synchronized void addText(String step, String text) {
+        texts.put(step, text);
+    }
+
+    synchronized String text(String step) {
+        return texts.getOrDefault(step, "");
+    }
 }
--- a/sequoianotch-proof/src/main/java/org/sequoianotch/proof/scenario/Invariants.java
+++ b/sequoianotch-proof/src/main/java/org/sequoianotch/proof/scenario/Invariants.java
@@ -45,9 +45,32 @@
             }
         });
         history.entries().forEach(entry -> checkEntry(entry, ranRequests, violations));
+        checkChanges(history.templateAnswers(), violations);
         return violations;
     }
 
+    /** One change has one revision, however often it was submitted, and one revision comes from one change. */
+    private static void checkChanges(List<TemplateAnswer> answers, List<String> violations) {
+        Map<Long, String> changeOfRevision = new HashMap<>();
+        Map<String, Long> revisionOfChange = new HashMap<>();
+        for (TemplateAnswer answer : answers) {
+            if (!answer.isAccepted()) {
+                continue;
+            }
+            String change = answer.change().changeId();
+            String otherChange = changeOfRevision.putIfAbsent(answer.revision(), change);
+            Long otherRevision = revisionOfChange.putIfAbsent(change, answer.revision());
+            if (otherChange != null && !otherChange.equals(change)) {
+                violations.add("R8: changes " + otherChange + " and " + change + " were both accepted as revision "
+                        + answer.revision() + ".");
+            }
+            if (otherRevision != null && otherRevision != answer.revision()) {
+                violations.add("R8: change " + change + " was accepted as revision " + otherRevision + " and as "
+                        + answer.revision() + ".");
+            }
+        }
+    }
+
     private static void checkEntry(History.Entry entry, Set<String> ranRequests, List<String> violations) {
         String requestId = entry.outcome().requestId();
         String call = entry.method() + " " + entry.path() + " (request " + requestId + ")";
--- a/sequoianotch-proof/src/main/java/org/sequoianotch/proof/scenario/NodeProcess.java
+++ b/sequoianotch-proof/src/main/java/org/sequoianotch/proof/scenario/NodeProcess.java
@@ -133,6 +133,15 @@
         }
     }
 
+    /** Tells whether the log has a text. */
+    boolean logContains(String text) {
+        try {
+            return Files.readString(logFile).contains(text);
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
     private Process running() {
         if (process == null) {
             throw new IllegalStateException("The node of host " + host + " was not started");
--- /dev/null
+++ b/sequoianotch-proof/src/main/java/org/sequoianotch/proof/scenario/Relay.java
@@ -0,0 +1,217 @@
+package org.sequoianotch.proof.scenario;
+
+import java.io.DataInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.io.UncheckedIOException;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Function;
+import org.sequoianotch.protocol.Frame;
+import org.sequoianotch.protocol.FrameCodec;
+import org.sequoianotch.protocol.FrameFormatException;
+
+/**
+ * Stands in front of one host's peer listener, for TCP and UDP, so that a scenario can cut pairs of hosts.
+ *
+ * <p>The sender of a connection is known from its first frame, {@code Hello}. The sender of a datagram is known from
+ * its source address, because a node sends from the socket of its peer listener. Bytes of a blocked direction are held
+ * back until it is free again, datagrams are dropped. This class is thread-safe.
+ */
+final class Relay implements AutoCloseable {
+    private static final int CHUNK_BYTES = 16_384;
+    private static final int MAX_DATAGRAM_BYTES = 2_048;
+    private static final int MAX_HELLO_BYTES = 4_096;
+    private static final int CONNECT_TIMEOUT_MS = 2_000;
+
+    private final String host;
+    private final InetSocketAddress target;
+    private final RelayRules rules;
+    private final Function<InetSocketAddress, String> hostOfSource;
+    private final ServerSocket server;
+    private final DatagramSocket datagrams;
+    private final Set<Connection> connections = ConcurrentHashMap.newKeySet();
+
+    /**
+     * Opens the relay of a host.
+     *
+     * @param host name of the host; not null
+     * @param listen address of the relay; not null
+     * @param target address of the host's peer listener; not null
+     * @param rules what passes; not null
+     * @param hostOfSource finds the host that sends datagrams from an address; not null
+     * @throws IOException if the address cannot be bound
+     */
+    Relay(
+            String host,
+            InetSocketAddress listen,
+            InetSocketAddress target,
+            RelayRules rules,
+            Function<InetSocketAddress, String> hostOfSource)
+            throws IOException {
+        this.host = host;
+        this.target = target;
+        this.rules = rules;
+        this.hostOfSource = hostOfSource;
+        server = new ServerSocket();
+        server.bind(listen);
+        datagrams = new DatagramSocket(listen);
+        Thread.ofPlatform().daemon().name("relay-tcp-" + host).start(this::accept);
+        Thread.ofPlatform().daemon().name("relay-udp-" + host).start(this::passDatagrams);
+    }
+
+    /** Makes the open connections with another host silent for good; later connections work. */
+    void silence(String peer) {
+        connections.stream()
+                .filter(connection -> connection.peer.equals(peer))
+                .forEach(connection -> connection.silent = true);
+    }
+
+    private void accept() {
+        try {
+            while (true) {
+                Socket socket = server.accept();
+                Thread.ofVirtual().name("relay-" + host).start(() -> serve(socket));
+            }
+        } catch (IOException e) {
+            // The relay was closed.
+        }
+    }
+
+    private void passDatagrams() {
+        byte[] bytes = new byte[MAX_DATAGRAM_BYTES];
+        while (!datagrams.isClosed()) {
+            DatagramPacket packet = new DatagramPacket(bytes, bytes.length);
+            try {
+                datagrams.receive(packet);
+                String from = hostOfSource.apply((InetSocketAddress) packet.getSocketAddress());
+                if (rules.passes(from, host)) {
+                    datagrams.send(new DatagramPacket(packet.getData(), packet.getLength(), target));
+                }
+            } catch (IOException e) {
+                // The relay was closed, or the host is down, which loses the datagram.
+            }
+        }
+    }
+
+    private void serve(Socket fromPeer) {
+        try (fromPeer;
+                Socket toHost = new Socket()) {
+            fromPeer.setTcpNoDelay(true);
+            toHost.setTcpNoDelay(true);
+            byte[] hello = readHello(fromPeer.getInputStream());
+            Connection connection = new Connection(senderOf(hello), fromPeer, toHost);
+            connections.add(connection);
+            try {
+                rules.awaitPassage(connection.peer, host);
+                toHost.connect(target, CONNECT_TIMEOUT_MS);
+                toHost.getOutputStream().write(hello);
+                Thread back = Thread.ofVirtual()
+                        .name("relay-back-" + host)
+                        .start(() -> connection.pump(toHost, fromPeer, host, connection.peer));
+                connection.pump(fromPeer, toHost, connection.peer, host);
+                back.join();
+            } finally {
+                connections.remove(connection);
+            }
+        } catch (IOException | FrameFormatException e) {
+            // Both sides see the closed connection, as they would without a relay.
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private static byte[] readHello(InputStream stream) throws IOException {
+        DataInputStream in = new DataInputStream(stream);
+        int length = in.readInt();
+        if (length < 1 || length > MAX_HELLO_BYTES) {
+            throw new IOException("The first frame has " + length + " bytes, which no Hello has");
+        }
+        byte[] frame = new byte[FrameCodec.PREFIX_BYTES + length];
+        ByteBuffer.wrap(frame).putInt(length);
+        in.readFully(frame, FrameCodec.PREFIX_BYTES, length);
+        return frame;
+    }
+
+    private static String senderOf(byte[] hello) throws IOException, FrameFormatException {
+        byte[] frame = new byte[hello.length - FrameCodec.PREFIX_BYTES];
+        System.arraycopy(hello, FrameCodec.PREFIX_BYTES, frame, 0, frame.length);
+        if (FrameCodec.decode(frame) instanceof Frame.Hello first) {
+            return first.host().name();
+        }
+        throw new IOException("The first frame is no Hello");
+    }
+
+    @Override
+    public void close() {
+        try {
+            server.close();
+            datagrams.close();
+            for (Connection connection : connections) {
+                connection.close();
+            }
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** One connection through the relay. */
+    private final class Connection {
+        private final String peer;
+        private final Socket fromPeer;
+        private final Socket toHost;
+        private volatile boolean silent;
+
+        private Connection(String peer, Socket fromPeer, Socket toHost) {
+            this.peer = peer;
+            this.fromPeer = fromPeer;
+            this.toHost = toHost;
+        }
+
+        /** Copies one direction until it ends; the bytes of a silent connection are lost. */
+        private void pump(Socket source, Socket sink, String from, String to) {
+            byte[] chunk = new byte[CHUNK_BYTES];
+            try {
+                InputStream in = source.getInputStream();
+                OutputStream out = sink.getOutputStream();
+                int count = in.read(chunk);
+                while (count >= 0) {
+                    rules.awaitPassage(from, to);
+                    if (!silent) {
+                        out.write(chunk, 0, count);
+                    }
+                    count = in.read(chunk);
+                }
+                // The end of a connection does not cross a cut or a silent connection either.
+                rules.awaitPassage(from, to);
+            } catch (IOException e) {
+                // A reset of one side is passed on by closing both.
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+            if (!silent) {
+                close();
+            }
+        }
+
+        private void close() {
+            closeQuietly(fromPeer);
+            closeQuietly(toHost);
+        }
+
+        private void closeQuietly(Socket socket) {
+            try {
+                socket.close();
+            } catch (IOException e) {
+                // Nothing is left to do for a socket that is already broken.
+            }
+        }
+    }
+}
--- /dev/null
+++ b/sequoianotch-proof/src/main/java/org/sequoianotch/proof/scenario/RelayNetwork.java
@@ -0,0 +1,82 @@
+package org.sequoianotch.proof.scenario;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+
+/**
+ * The relays of a deployment and the actions that cut and heal its network.
+ *
+ * <p>One thread uses it.
+ */
+final class RelayNetwork implements AutoCloseable {
+    private final List<Scenario.HostPlan> hosts;
+    private final RelayRules rules = new RelayRules();
+    private final Map<String, Relay> relays = new LinkedHashMap<>();
+    private final Map<String, String> hostsByAddress = new ConcurrentHashMap<>();
+
+    RelayNetwork(List<Scenario.HostPlan> hosts) {
+        this.hosts = List.copyOf(hosts);
+    }
+
+    /** Opens the relay of one host. */
+    void open(String host, InetSocketAddress listen, InetSocketAddress target) throws IOException {
+        hostsByAddress.put(target.getAddress().getHostAddress(), host);
+        relays.put(host, new Relay(host, listen, target, rules, this::hostOf));
+    }
+
+    private String hostOf(InetSocketAddress source) {
+        return hostsByAddress.getOrDefault(source.getAddress().getHostAddress(), "");
+    }
+
+    /** Carries out {@code cut}, {@code cut-one-way}, {@code silence}, {@code isolate}, and so on. */
+    void act(List<String> words) {
+        switch (words.get(0)) {
+            case "cut" -> cut(words.get(1), words.get(2));
+            case "cut-one-way" -> rules.block(words.get(1), words.get(2));
+            case "silence" -> {
+                relay(words.get(1)).silence(words.get(2));
+                relay(words.get(2)).silence(words.get(1));
+            }
+            case "isolate" -> hosts.forEach(other -> cut(words.get(1), other.name()));
+            case "cut-data-centre" -> cutDataCentre(words.get(1));
+            case "heal" -> rules.heal();
+            default -> throw new IllegalArgumentException("No such action on the network: " + words);
+        }
+    }
+
+    private void cut(String one, String other) {
+        if (!one.equals(other)) {
+            rules.block(one, other);
+            rules.block(other, one);
+        }
+    }
+
+    private void cutDataCentre(String dataCentre) {
+        for (Scenario.HostPlan inside : hosts) {
+            for (Scenario.HostPlan outside : hosts) {
+                if (inside.dataCentre().equals(dataCentre)
+                        && !outside.dataCentre().equals(dataCentre)) {
+                    cut(inside.name(), outside.name());
+                }
+            }
+        }
+    }
+
+    private Relay relay(String host) {
+        Relay relay = relays.get(host);
+        if (relay == null) {
+            throw new IllegalArgumentException("Host " + host + " has no relay; set relay = true in [scenario]");
+        }
+        return relay;
+    }
+
+    @Override
+    public void close() {
+        rules.heal();
+        relays.values().forEach(Relay::close);
+    }
+}
--- /dev/null
+++ b/sequoianotch-proof/src/main/java/org/sequoianotch/proof/scenario/RelayRules.java
@@ -0,0 +1,35 @@
+package org.sequoianotch.proof.scenario;
+
+import java.util.HashSet;
+import java.util.Set;
+
+/**
+ * Which hosts cannot reach which, as one table for all relays of a deployment.
+ *
+ * <p>This class is thread-safe.
+ */
+final class RelayRules {
+    private final Set<Direction> blocked = new HashSet<>();
+
+    private record Direction(String from, String to) {}
+
+    synchronized void block(String from, String to) {
+        blocked.add(new Direction(from, to));
+    }
+
+    synchronized void heal() {
+        blocked.clear();
+        notifyAll();
+    }
+
+    synchronized boolean passes(String from, String to) {
+        return !blocked.contains(new Direction(from, to));
+    }
+
+    /** Waits while a direction is blocked, as TCP holds back bytes until a network recovers. */
+    synchronized void awaitPassage(String from, String to) throws InterruptedException {
+        while (!passes(from, to)) {
+            wait();
+        }
+    }
+}
--- /dev/null
+++ b/sequoianotch-proof/src/main/java/org/sequoianotch/proof/scenario/RevisionWatch.java
@@ -0,0 +1,90 @@
+package org.sequoianotch.proof.scenario;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+
+/**
+ * Polls the revision in force on every node and records each step back, which R8 rules out.
+ *
+ * <p>A node that was started again is a new series, because it may know nothing yet. This class is thread-safe.
+ */
+final class RevisionWatch implements AutoCloseable {
+    private static final long POLL_MS = 40;
+
+    private final AdminClient admin;
+    private final Map<String, Series> series = new HashMap<>();
+    private final List<String> violations = new ArrayList<>();
+    private final List<Thread> threads = new ArrayList<>();
+
+    /** What was seen on one process of a node. */
+    private static final class Series {
+        private long lowest = Long.MAX_VALUE;
+        private long newest = -1;
+    }
+
+    RevisionWatch(AdminClient admin) {
+        this.admin = admin;
+    }
+
+    void start(List<String> hosts) {
+        for (String host : hosts) {
+            restarted(host);
+            threads.add(Thread.ofVirtual().name("revision-watch-" + host).start(() -> poll(host)));
+        }
+    }
+
+    /** Begins a new series for a node whose process was started again. */
+    synchronized void restarted(String host) {
+        series.put(host, new Series());
+    }
+
+    private synchronized Series current(String host) {
+        return series.getOrDefault(host, new Series());
+    }
+
+    private void poll(String host) {
+        try {
+            while (!Thread.currentThread().isInterrupted()) {
+                Series asked = current(host);
+                OptionalLong revision = admin.revision(host);
+                if (revision.isPresent()) {
+                    record(host, asked, revision.getAsLong());
+                }
+                Thread.sleep(POLL_MS);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private synchronized void record(String host, Series asked, long revision) {
+        if (revision < asked.newest) {
+            violations.add("R8: host " + host + " went from revision " + asked.newest + " back to " + revision + ".");
+        }
+        asked.newest = revision;
+        asked.lowest = Math.min(asked.lowest, revision);
+    }
+
+    /** Returns the newest revision seen on a node since it was started; -1 if none was seen. */
+    synchronized long newest(String host) {
+        return current(host).newest;
+    }
+
+    /** Returns the lowest revision seen on a node since it was started; -1 if none was seen. */
+    synchronized long lowest(String host) {
+        long lowest = current(host).lowest;
+        return lowest == Long.MAX_VALUE ? -1 : lowest;
+    }
+
+    synchronized List<String> violations() {
+        return List.copyOf(violations);
+    }
+
+    @Override
+    public void close() {
+        threads.forEach(Thread::interrupt);
+    }
+}
--- a/sequoianotch-proof/src/main/java/org/sequoianotch/proof/scenario/Scenario.java
+++ b/sequoianotch-proof/src/main/java/org/sequoianotch/proof/scenario/Scenario.java
@@ -12,6 +12,7 @@
  * @param requirement the requirements of the design page that it proves, such as {@code R4 R5}; not null
  * @param guards which failure it guards against; not null
  * @param naiveBreaks whether the naive version is known to break a check or an invariant of it
+ * @param relay whether a relay stands in front of each peer listener, so that steps can cut hosts off
  * @param hosts the hosts to start; not null
  * @param settings settings of all nodes that differ from those of the runner, as {@code section.key = value}; not null
  * @param steps the steps in order; not null
@@ -21,6 +22,7 @@
         String requirement,
         String guards,
         boolean naiveBreaks,
+        boolean relay,
         List<HostPlan> hosts,
         List<String> settings,
         List<Step> steps) {
@@ -50,6 +52,7 @@
      * @param workMs time that the stand-in works on a request, in milliseconds
      * @param calls calls of the stand-in to other services, separated by commas; not null, may be empty
      * @param ledger whether it is a ledger host
+     * @param control whether it is a control host
      */
     public record HostPlan(
             String name,
@@ -59,7 +62,8 @@
             int slots,
             double workMs,
             String calls,
-            boolean ledger) {}
+            boolean ledger,
+            boolean control) {}
 
     /**
      * A step of a scenario.
--- a/sequoianotch-proof/src/main/java/org/sequoianotch/proof/scenario/ScenarioParser.java
+++ b/sequoianotch-proof/src/main/java/org/sequoianotch/proof/scenario/ScenarioParser.java
@@ -38,6 +38,7 @@
                 required(file, head, "requirement"),
                 required(file, head, "guards"),
                 head.getOrDefault("naive_breaks", "false").equals("true"),
+                head.getOrDefault("relay", "false").equals("true"),
                 hosts,
                 settings(ini),
                 steps);
@@ -58,7 +59,8 @@
                 Integer.parseInt(values.getOrDefault("slots", "50")),
                 Double.parseDouble(values.getOrDefault("work_ms", "2")),
                 values.getOrDefault("calls", ""),
-                values.getOrDefault("ledger", "false").equals("true"));
+                values.getOrDefault("ledger", "false").equals("true"),
+                values.getOrDefault("control", "false").equals("true"));
     }
 
     private static Scenario.Step step(String name, Map<String, String> values) {
--- a/sequoianotch-proof/src/main/java/org/sequoianotch/proof/scenario/ScenarioRunner.java
+++ b/sequoianotch-proof/src/main/java/org/sequoianotch/proof/scenario/ScenarioRunner.java
@@ -1,10 +1,12 @@
 package org.sequoianotch.proof.scenario;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
@@ -22,7 +24,7 @@
  * <p>A runner runs one scenario once, on one thread.
  */
 public final class ScenarioRunner {
-    private static final long READY_TIMEOUT_MS = 30_000;
+    private static final int READY_TIMEOUT_MS = 30_000;
     private static final long READY_POLL_MS = 50;
     private static final int DEFAULT_TIMEOUT_MS = 10_000;
     /** A new ledger refuses keys minted before it was formed, with a margin of 1 s for clocks that differ. */
@@ -31,10 +33,12 @@
     private final Scenario scenario;
     private final Deployment deployment;
     private final History history = new History();
-    private final Map<String, Thread> loads = new HashMap<>();
+    private final Map<String, Thread> loads = new ConcurrentHashMap<>();
     private final Map<String, String> mintedKeys = new ConcurrentHashMap<>();
     private final Map<String, Integer> exitCodes = new HashMap<>();
     private final List<String> violations = new ArrayList<>();
+    private final List<String> figures = new ArrayList<>();
+    private final ControlSteps control;
 
     /**
      * Creates a runner.
@@ -47,6 +51,7 @@
     public ScenarioRunner(Scenario scenario, String mode, Path folder, List<Path> templates) {
         this.scenario = scenario;
         this.deployment = new Deployment(scenario, mode, folder, templates);
+        this.control = new ControlSteps(scenario, deployment, history, templates.get(0));
     }
 
     /**
@@ -57,21 +62,27 @@
      * @throws InterruptedException if the thread is interrupted
      */
     public List<String> run() throws IOException, InterruptedException {
-        try (deployment) {
+        try (deployment;
+                control) {
             deployment.start();
             awaitReady();
+            control.start();
             deployment.standIns().forEach(standIn -> standIn.log().clear());
             for (Scenario.Step step : scenario.steps()) {
                 long startedNs = System.nanoTime();
                 act(step);
                 double elapsedMs = (System.nanoTime() - startedNs) / 1_000_000.0;
-                Checks checks = new Checks(history, deployment, exitCodes, elapsedMs);
+                Checks checks = new Checks(history, deployment, exitCodes, elapsedMs, control);
+                if (step.action().contains("measured")) {
+                    figures.add(String.format(Locale.ROOT, "%s, %s: %.0f ms", scenario, step.name(), elapsedMs));
+                }
                 step.checks()
                         .forEach(check -> checks.evaluate(step.name(), check).ifPresent(violations::add));
             }
             for (Thread load : loads.values()) {
                 load.join();
             }
+            violations.addAll(control.violations());
             violations.addAll(Invariants.check(history, deployment.standIns()));
             return violations;
         }
@@ -86,6 +97,15 @@
         return deployment.logTails();
     }
 
+    /**
+     * Returns how long the steps with the word {@code measured} took.
+     *
+     * @return one line for each such step, never null
+     */
+    public List<String> figures() {
+        return List.copyOf(figures);
+    }
+
     /** Waits until each node reaches each service, because nodes and backend servers need a moment to meet. */
     private void awaitReady() throws InterruptedException {
         CallTemplate[] probes = scenario.hosts().stream()
@@ -94,7 +114,7 @@
                 .distinct()
                 .map(service -> new CallTemplate("ready", "GET", "/" + service + "/ready", new byte[0], false))
                 .toArray(CallTemplate[]::new);
-        long endNs = System.nanoTime() + READY_TIMEOUT_MS * 1_000_000;
+        long endNs = System.nanoTime() + READY_TIMEOUT_MS * 1_000_000L;
         for (Scenario.HostPlan host : scenario.hosts()) {
             Caller caller = deployment.caller(host.name());
             for (CallTemplate probe : probes) {
@@ -115,7 +135,7 @@
 
     private void act(Scenario.Step step) throws IOException, InterruptedException {
         List<String> words = step.action();
-        String object = words.size() > 1 ? words.get(1) : "";
+        String object = words.size() > 1 ? control.resolve(words.get(1)) : "";
         switch (words.get(0)) {
             case "call" -> call(step);
             case "load" -> load(step);
@@ -123,7 +143,10 @@
             case "sleep" -> Thread.sleep(Long.parseLong(object));
             case "mint" -> mintedKeys.put(object, newKey(hostOf(step)));
             case "kill" -> deployment.node(object).kill();
-            case "start" -> deployment.node(object).start();
+            case "start" -> {
+                control.restarted(object);
+                deployment.node(object).start();
+            }
             case "terminate" -> deployment.node(object).terminate();
             case "await-exit" -> exitCodes.put(object, deployment.node(object).awaitExit());
             case "freeze" -> deployment.node(object).signal("STOP");
@@ -135,11 +158,38 @@
             case "lose-disk" -> deployment.loseDisk(object);
             case "await-ready" -> awaitReady();
             case "send-garbage" -> RawBytes.send(deployment, object, step.option("as", ""));
+            case "lose-control-disk" -> deployment.loseControlDisk(object);
+            case "damage-control-log" -> deployment.damageControlLog(object);
+            case "cut", "cut-one-way", "silence", "isolate", "cut-data-centre", "heal" -> deployment
+                    .network()
+                    .act(words.stream().map(control::resolve).toList());
+            case "background" -> background(step);
             case "nothing" -> {}
-            default -> throw new IllegalArgumentException(scenario.name() + ": no such action " + words);
+            default -> {
+                if (!control.act(step)) {
+                    throw new IllegalArgumentException(scenario.name() + ": no such action " + words);
+                }
+            }
         }
     }
 
+    /** Takes the action after the word {@code background} on a thread of its own, which {@code join} waits for. */
+    private void background(Scenario.Step step) {
+        Scenario.Step inner = new Scenario.Step(
+                step.name(), step.action().subList(1, step.action().size()), List.of());
+        loads.put(
+                step.name(),
+                Thread.ofPlatform().name("background-" + step.name()).start(() -> {
+                    try {
+                        act(inner);
+                    } catch (IOException e) {
+                        throw new UncheckedIOException(e);
+                    } catch (InterruptedException e) {
+                        Thread.currentThread().interrupt();
+                    }
+                }));
+    }
+
     private static void behave(Scenario.Step step, StandIn standIn) {
         Behaviour behaviour = Behaviour.NORMAL
                 .withSlowFactor(Double.parseDouble(step.option("slow", "1")))
@@ -159,7 +209,9 @@
     }
 
     private String hostOf(Scenario.Step step) {
-        String[] hosts = step.option("at", scenario.hosts().get(0).name()).split("/");
+        String[] hosts = control.resolve(
+                        step.option("at", scenario.hosts().get(0).name()))
+                .split("/");
         return hosts[ThreadLocalRandom.current().nextInt(hosts.length)];
     }
 
@@ -173,11 +225,15 @@
                 step.action().contains("key") || step.action().contains("keys"));
     }
 
-    /** Sends one call, or several at once with {@code times}. */
+    /** Sends one call, or several at once with {@code times}; {@code until STATUS} repeats it up to a limit. */
     private void call(Scenario.Step step) throws InterruptedException {
         CallTemplate template = template(step);
         String keyName = step.option("key", "");
         String key = mintedKeys.getOrDefault(keyName, keyName);
+        if (step.action().contains("until")) {
+            callUntil(step, template, key);
+            return;
+        }
         List<Thread> threads = new ArrayList<>();
         for (int i = 0; i < step.number("times", 1); i++) {
             threads.add(Thread.ofVirtual().start(() -> send(step, template, key, System.nanoTime() / 1e6)));
@@ -187,6 +243,25 @@
         }
     }
 
+    /** Repeats a call until it has a status; the answers before it are kept under another name. */
+    private void callUntil(Scenario.Step step, CallTemplate template, String key) throws InterruptedException {
+        int status = step.number("until", 0);
+        long endNs = System.nanoTime() + step.number("within", READY_TIMEOUT_MS) * 1_000_000L;
+        while (true) {
+            CallOutcome outcome = deployment
+                    .caller(hostOf(step))
+                    .send(template, key, System.nanoTime() / 1e6, step.number("timeout", DEFAULT_TIMEOUT_MS));
+            boolean last = outcome.status() == status || System.nanoTime() > endNs;
+            String name = last ? step.name() : step.name() + " before";
+            history.add(new History.Entry(
+                    name, template.method(), template.path(), template.keyed() ? key : null, outcome));
+            if (last) {
+                return;
+            }
+            Thread.sleep(READY_POLL_MS);
+        }
+    }
+
     /** Sends calls at a fixed rate in the background; {@code tries} lets each caller repeat a failed call at once. */
     private void load(Scenario.Step step) {
         CallTemplate template = template(step);
