--- a/sequoianotch-proof/src/main/java/org/sequoianotch/proof/scenario/AdminClient.java
+++ b/sequoianotch-proof/src/main/java/org/sequoianotch/proof/scenario/AdminClient.java
@@ -49,7 +49,7 @@
     /** Submits a change and tells what the operator was answered; no answer counts as in doubt. */
     TemplateAnswer apply(TemplateAnswer.Change change, String host) throws InterruptedException {
         String target = "/v1/templates/" + change.organisation() + "?expect_revision=" + change.expectedRevision()
-                + "&change_id=" + change.changeId();
+                + "&change_id=" + change.changeId() + "&dry_run=" + change.dryRun();
         HttpRequest request = request(host, target, CHANGE_TIMEOUT)
                 .header("Authorization", "Bearer " + OPERATOR_KEYS.get(change.operator()))
                 .PUT(HttpRequest.BodyPublishers.ofString(change.text()))
@@ -58,7 +58,7 @@
             HttpResponse<String> response = http.send(request, HttpResponse.BodyHandlers.ofString());
             JsonNode json = mapper.readTree(response.body());
             String code = response.statusCode() == OK
-                    ? "accepted"
+                    ? change.dryRun() ? "would_be_accepted" : "accepted"
                     : json.path("error").asText();
             return new TemplateAnswer(change, code, json.path("revision").asLong(-1), response.body());
         } catch (IOException e) {
--- a/sequoianotch-proof/src/main/java/org/sequoianotch/proof/scenario/Checks.java
+++ b/sequoianotch-proof/src/main/java/org/sequoianotch/proof/scenario/Checks.java
@@ -57,9 +57,11 @@
             case "revision" -> compare(step, check, control.newestRevision(words[1]), comparison, wanted);
             case "lowest-revision" -> compare(step, check, control.lowestRevision(words[1]), comparison, wanted);
             case "mentions" -> compare(step, check, mentions(step, words[1]), comparison, wanted);
-            case "exit" -> compare(step, check, exitCodes.getOrDefault(control.resolve(words[1]), -1), comparison, wanted);
+            case "exit" -> compare(
+                    step, check, exitCodes.getOrDefault(control.resolve(words[1]), -1), comparison, wanted);
             case "elapsed" -> compare(step, check, elapsedMs, comparison, wanted);
-            case "alive" -> compare(step, check, deployment.node(control.resolve(words[1])).isAlive() ? 1 : 0, comparison, wanted);
+            case "alive" -> compare(
+                    step, check, deployment.node(control.resolve(words[1])).isAlive() ? 1 : 0, comparison, wanted);
             default -> throw new IllegalArgumentException("No such check: " + check);
         };
     }
--- a/sequoianotch-proof/src/main/java/org/sequoianotch/proof/scenario/ControlSteps.java
+++ b/sequoianotch-proof/src/main/java/org/sequoianotch/proof/scenario/ControlSteps.java
@@ -106,8 +106,9 @@
     }
 
     /**
-     * Submits changes one after the other, such as {@code apply deadline_ms=2100 expect latest at a as change-01 by
-     * bob}. With {@code tries}, a change without an answer from the group is sent again with the same id.
+     * Submits changes one after the other, such as
+     * {@code apply deadline_ms=2100 expect latest at a as change-01 by bob}. With {@code dry-run}, nothing is changed.
+     * With {@code tries}, a change without an answer from the group is sent again with the same id.
      */
     private void apply(Scenario.Step step, int count) throws IOException, InterruptedException {
         for (int i = 0; i < count; i++) {
@@ -121,7 +122,8 @@
                     label,
                     revision(step.option("expect", "latest")),
                     changeId,
-                    step.option("by", "alice"));
+                    step.option("by", "alice"),
+                    step.action().contains("dry-run"));
             TemplateAnswer answer = admin.apply(change, hostOf(step));
             for (int left = step.number("tries", 1) - 1; left > 0 && isOpen(answer); left--) {
                 history.add(step.name() + " before", answer);
--- a/sequoianotch-proof/src/main/java/org/sequoianotch/proof/scenario/TemplateAnswer.java
+++ b/sequoianotch-proof/src/main/java/org/sequoianotch/proof/scenario/TemplateAnswer.java
@@ -8,7 +8,8 @@
  * <p>This type is immutable.
  *
  * @param change the change; not null
- * @param code {@code accepted}, the error code of the node, or {@code no_answer}; not null
+ * @param code {@code accepted}, {@code would_be_accepted} for a dry run, the error code of the node, or
+ *     {@code no_answer}; not null
  * @param revision the revision that the change made, or -1 if it was not accepted
  * @param body the whole answer; not null
  */
@@ -33,7 +34,14 @@
      * @param expectedRevision the revision that the operator saw
      * @param changeId id of the change; not null
      * @param operator who submitted it; not null
+     * @param dryRun whether only the difference is asked for
      */
     record Change(
-            String organisation, String text, String label, long expectedRevision, String changeId, String operator) {}
+            String organisation,
+            String text,
+            String label,
+            long expectedRevision,
+            String changeId,
+            String operator,
+            boolean dryRun) {}
 }
--- a/sequoianotch-proof/src/test/java/org/sequoianotch/proof/scenario/ScenarioTest.java
+++ b/sequoianotch-proof/src/test/java/org/sequoianotch/proof/scenario/ScenarioTest.java
@@ -40,6 +40,7 @@
 
         List<String> violations = runner.run();
 
+        runner.figures().forEach(System.out::println);
         assertWithMessage("%s guards against: %s\n%s", scenario, scenario.guards(), runner.logTails())
                 .that(violations)
                 .isEmpty();
