Start a node that finds a higher revision: do not ask under the follower's lock

TemplateFollower.start held the lock that offer takes, and waited for the questions that call offer. Every node that was restarted after the first template change therefore hung before it opened its listeners. The unit tests called askAtStart directly and did not see it; a test now calls start and has a time limit.

--- a/sequoianotch-control/src/main/java/org/sequoianotch/control/TemplateFollower.java
+++ b/sequoianotch-control/src/main/java/org/sequoianotch/control/TemplateFollower.java
@@ -50,7 +50,8 @@
     private final AtomicBoolean hintOpen = new AtomicBoolean();
     private volatile TemplateSet current;
     private volatile boolean closed;
-    private @Nullable Thread thread;
+    private final AtomicBoolean started = new AtomicBoolean();
+    private volatile @Nullable Thread thread;
     private int position;
     private double leftPreferredAtMs;
     /** Highest revision that could not be read here; it is not asked for again. */
@@ -82,10 +83,11 @@
     }
 
     /** Asks several neighbours and control hosts, takes the highest revision, and follows it in the background. */
-    public synchronized void start() {
-        if (thread != null) {
+    public void start() {
+        if (!started.compareAndSet(false, true)) {
             throw new IllegalStateException("the follower was started before");
         }
+        // Not under the lock, because the questions take it when they find a higher revision.
         askAtStart();
         thread = Thread.ofVirtual().name("template-follower").start(this::followLoop);
     }
--- a/sequoianotch-control/src/test/java/org/sequoianotch/control/TemplateFollowerTest.java
+++ b/sequoianotch-control/src/test/java/org/sequoianotch/control/TemplateFollowerTest.java
@@ -11,6 +11,7 @@
 import java.util.SortedMap;
 import java.util.TreeMap;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.sequoianotch.control.Question.FetchAnswer;
 import org.sequoianotch.control.state.Samples;
 import org.sequoianotch.control.state.TemplateTexts;
@@ -102,6 +103,19 @@
         assertThat(follower.current().templates()).containsKey(Samples.BELLWORKS);
     }
 
+    /** The start once held the lock that taking a higher revision needs, so that such a node never started. */
+    @Test
+    @Timeout(value = 10, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+    void startEndsWhenItFindsAHigherRevision() {
+        TemplateFollower follower = follower(List.of("node-1"));
+        host("node-1", 6, false);
+
+        follower.start();
+
+        assertThat(follower.current().revision()).isEqualTo(6);
+        follower.close();
+    }
+
     @Test
     void staysAtTheFirstControlHostAndFallsBackToTheNext() {
         TemplateFollower follower = follower(List.of());
