--- a/sequoianotch-proof/src/main/java/org/sequoianotch/proof/scenario/Checks.java
+++ b/sequoianotch-proof/src/main/java/org/sequoianotch/proof/scenario/Checks.java
@@ -176,7 +176,9 @@
     private long mentions(String step, String word) {
         boolean inAnswer = history.templateAnswers(step).stream()
                 .anyMatch(answer -> answer.body().contains(word));
-        return inAnswer || history.text(step).contains(word) ? 1 : 0;
+        boolean inCall = history.entries(step).stream()
+                .anyMatch(entry -> entry.outcome().body().contains(word));
+        return inAnswer || inCall || history.text(step).contains(word) ? 1 : 0;
     }
 
     private static Optional<String> compare(
--- a/sequoianotch-proof/src/main/java/org/sequoianotch/proof/standin/StandIn.java
+++ b/sequoianotch-proof/src/main/java/org/sequoianotch/proof/standin/StandIn.java
@@ -38,6 +38,8 @@
     private static final long IDLE_TIMEOUT_MS = 600_000;
     private static final long SUB_CALL_TIMEOUT_MS = 60_000;
     private static final int CONNECT_TIMEOUT_MS = 1_000;
+    private static final int CHUNK_BYTES = 16_384;
+    private static final String BYTES_QUERY = "?bytes=";
     private static final int OK = 200;
     private static final int SERVER_ERROR = 500;
     private static final int BAD_GATEWAY = 502;
@@ -287,7 +289,34 @@
             exchange.abort();
             return Execution.Result.COMPLETED;
         }
+        long wantedBytes = wantedBytes(exchange.uri());
+        if (wantedBytes > body.length) {
+            return stream(exchange, body, wantedBytes);
+        }
         exchange.respond(new WholeResponse(OK, List.of(new HeaderField("Content-Type", "text/plain")), body));
         return Execution.Result.COMPLETED;
     }
+
+    /** A query {@code ?bytes=N} asks for an answer of that length. */
+    private static long wantedBytes(String uri) {
+        int query = uri.indexOf(BYTES_QUERY);
+        return query < 0 ? 0 : Long.parseLong(uri.substring(query + BYTES_QUERY.length()));
+    }
+
+    private static Execution.Result stream(HttpExchange exchange, byte[] start, long wantedBytes)
+            throws InterruptedException {
+        boolean taken = exchange.start(OK, List.of(new HeaderField("Content-Type", "text/plain")), wantedBytes)
+                && exchange.write(start);
+        long leftBytes = wantedBytes - start.length;
+        while (taken && leftBytes > 0) {
+            int chunkBytes = (int) Math.min(CHUNK_BYTES, leftBytes);
+            taken = exchange.write(new byte[chunkBytes]);
+            leftBytes -= chunkBytes;
+        }
+        if (!taken) {
+            return Execution.Result.CANCELLED;
+        }
+        exchange.end();
+        return Execution.Result.COMPLETED;
+    }
 }
--- a/sequoianotch-proof/src/test/java/org/sequoianotch/proof/scenario/ScenarioTest.java
+++ b/sequoianotch-proof/src/test/java/org/sequoianotch/proof/scenario/ScenarioTest.java
@@ -20,12 +20,20 @@
             .toAbsolutePath()
             .normalize());
 
+    /** Part of the names of the scenarios to run, set by {@code -Dscenario=NAME} while working on one. */
+    private static final String ONLY = System.getProperty("scenario", "");
+
     @TempDir
     Path folder;
 
     static Stream<Scenario> scenarios() throws IOException {
         try (Stream<Path> files = Files.list(Path.of("src", "test", "resources", "scenarios"))) {
-            return files.sorted().map(ScenarioParser::read).toList().stream();
+            return files
+                    .sorted()
+                    .map(ScenarioParser::read)
+                    .filter(scenario -> scenario.name().contains(ONLY))
+                    .toList()
+                    .stream();
         }
     }
 
