--- a/sequoianotch-proof/src/main/java/org/sequoianotch/proof/load/overload/PhaseReport.java
+++ b/sequoianotch-proof/src/main/java/org/sequoianotch/proof/load/overload/PhaseReport.java
@@ -63,7 +63,11 @@
 
     String row() {
         double seconds = (triggerEndMs - triggerAtMs) / MS_PER_S;
-        long good = during.stream().filter(Sample::good).count();
+        // Answers are counted when they end, because a queue that is emptied after the trigger is no goodput during it.
+        long good = all.stream()
+                .filter(sample ->
+                        sample.good() && sample.endedAtMs() >= triggerAtMs && sample.endedAtMs() < triggerEndMs)
+                .count();
         Histogram latencies = new Histogram(HIGHEST_US, 3);
         during.stream()
                 .filter(Sample::good)
--- a/sequoianotch-proof/src/main/java/org/sequoianotch/proof/load/overload/Sample.java
+++ b/sequoianotch-proof/src/main/java/org/sequoianotch/proof/load/overload/Sample.java
@@ -19,6 +19,10 @@
         String failure,
         String requestId,
         double latencyMs) {
+    double endedAtMs() {
+        return scheduledAtMs + latencyMs;
+    }
+
     boolean good() {
         return failure.isEmpty();
     }
