--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/BackendHandler.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/BackendHandler.java
@@ -69,7 +69,12 @@
         Optional<RequestContext> parent =
                 exchange.header(TraceParent.HEADER).flatMap(TraceParent::parse).flatMap(contexts::find);
         double ownDeadlineMs = clock.monotonicMs() + timeoutMs;
-        RequestContext context = parent.map(above -> above.subCall(ownDeadlineMs))
+        RequestContext context = parent.map(above -> new RequestContext(
+                        above.requestId(),
+                        above.criticality(),
+                        above.depth(),
+                        Math.min(above.deadlineAtMs(), ownDeadlineMs),
+                        above.allowance()))
                 .orElseGet(() -> unknownContext(exchange, ownDeadlineMs));
         Runnable cancel = () -> context.cancel(Failure.of(ErrorKind.CALLER_GONE, "The call above was cancelled."));
         parent.ifPresent(above -> above.onCancel(cancel));
@@ -81,7 +86,10 @@
             LOG.error("[call] A sub-call of request {} failed on a defect.", context.requestId(), e);
             exchange.abort();
         } finally {
-            parent.ifPresent(above -> above.removeCancelAction(cancel));
+            parent.ifPresent(above -> {
+                above.removeCancelAction(cancel);
+                above.observeLevel(context.lowestLevel());
+            });
         }
     }
 
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/InstanceServer.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/InstanceServer.java
@@ -171,9 +171,6 @@
 
     private static CallResult resultOf(Either<Failure, Integer> answered, RequestContext context) {
         if (answered.isRight()) {
-            if (answered.get() >= SERVER_ERROR && context.hasFailedSubCall()) {
-                return CallResult.SHED_BELOW;
-            }
             if (answered.get() == SERVICE_UNAVAILABLE) {
                 return CallResult.OVERLOADED;
             }
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/RequestContext.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/RequestContext.java
@@ -19,21 +19,14 @@
  * <p>This class is thread-safe.
  */
 public final class RequestContext {
-    private static final int BAD_GATEWAY = 502;
-    private static final int GATEWAY_TIMEOUT = 504;
-
     private final RequestId requestId;
     private final Criticality criticality;
     private final int depth;
     private final double deadlineAtMs;
     private final RetryAllowance allowance;
-    /** The call whose backend server makes the sub-call of this context. */
-    private final @Nullable RequestContext above;
-
     private final Set<Runnable> cancelActions = new LinkedHashSet<>();
     private @Nullable Failure cancellation;
     private double lowestLevel = LoadReport.ADMIT_ALL;
-    private boolean subCallFailed;
 
     /**
      * Creates a context.
@@ -46,28 +39,11 @@
      */
     public RequestContext(
             RequestId requestId, Criticality criticality, int depth, double deadlineAtMs, RetryAllowance allowance) {
-        this(requestId, criticality, depth, deadlineAtMs, allowance, null);
-    }
-
-    private RequestContext(
-            RequestId requestId,
-            Criticality criticality,
-            int depth,
-            double deadlineAtMs,
-            RetryAllowance allowance,
-            @Nullable RequestContext above) {
         this.requestId = requestId;
         this.criticality = criticality;
         this.depth = depth;
         this.deadlineAtMs = deadlineAtMs;
         this.allowance = allowance;
-        this.above = above;
-    }
-
-    /** Creates the context of a sub-call, which shares the allowance and passes on what it learns at once. */
-    RequestContext subCall(double ownDeadlineAtMs) {
-        return new RequestContext(
-                requestId, criticality, depth, Math.min(deadlineAtMs, ownDeadlineAtMs), allowance, this);
     }
 
     /**
@@ -135,29 +111,12 @@
         observeLevel(load.admissionLevel());
     }
 
-    private void observeLevel(double admissionLevel) {
-        synchronized (this) {
-            lowestLevel = Math.min(lowestLevel, admissionLevel);
-        }
-        if (above != null) {
-            above.observeLevel(admissionLevel);
-        }
-    }
-
-    /**
-     * Notes the status that the maker of this call is about to be told. If a sub-call failed, a later error of the
-     * backend server that made it is not taken for the server's own.
-     */
-    void noteStatus(int status) {
-        if (above != null && status >= BAD_GATEWAY && status <= GATEWAY_TIMEOUT) {
-            synchronized (above) {
-                above.subCallFailed = true;
-            }
-        }
+    synchronized void observeLevel(double admissionLevel) {
+        lowestLevel = Math.min(lowestLevel, admissionLevel);
     }
 
-    synchronized boolean hasFailedSubCall() {
-        return subCallFailed;
+    synchronized double lowestLevel() {
+        return lowestLevel;
     }
 
     /**
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/RequestRunner.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/RequestRunner.java
@@ -153,7 +153,6 @@
             return refuse(exchange, context, result.answer().getLeft(), result.attempts());
         }
         OpenAnswer answer = result.answer().get();
-        context.noteStatus(answer.head().status());
         List<HeaderField> headers = ownHeaders(context, answer.head().headers());
         if (answer.isComplete()) {
             if (exchange.method().equals("HEAD") && answer.head().bodyBytes() >= 0) {
@@ -227,7 +226,6 @@
                 failure.provesNotRun() ? EventKind.REFUSED : EventKind.FAILED,
                 "The caller was told " + failure.kind().code() + " (outcome "
                         + failure.kind().outcome().headerValue() + "): " + failure.detail());
-        context.noteStatus(failure.kind().status());
         if (failure.kind() == ErrorKind.CALLER_GONE) {
             exchange.abort();
         } else {
--- a/sequoianotch-policy/src/main/java/org/sequoianotch/policy/admission/ConcurrencyLimit.java
+++ b/sequoianotch-policy/src/main/java/org/sequoianotch/policy/admission/ConcurrencyLimit.java
@@ -99,9 +99,7 @@
 
     /** Takes in one call that ended. Results that say nothing about the load are ignored. */
     void onEnd(double nowMs, CallResult result, double latencyMs, int inFlight) {
-        boolean saysNothing =
-                result == CallResult.CANCELLED || result == CallResult.FAILED || result == CallResult.SHED_BELOW;
-        if (saysNothing || nowMs < windowStartMs) {
+        if (result == CallResult.CANCELLED || result == CallResult.FAILED || nowMs < windowStartMs) {
             return;
         }
         if (result.isSignOfOverload()) {
--- a/sequoianotch-policy/src/main/java/org/sequoianotch/policy/admission/WastedCallLevel.java
+++ b/sequoianotch-policy/src/main/java/org/sequoianotch/policy/admission/WastedCallLevel.java
@@ -79,7 +79,7 @@
     void onEnd(Criticality criticality, double admittedAtMs, CallResult result) {
         if (result != CallResult.CANCELLED && admittedAtMs >= countFromMs) {
             ended[criticality.ordinal()]++;
-            shed[criticality.ordinal()] += result.isSignOfOverload() || result == CallResult.SHED_BELOW ? 1 : 0;
+            shed[criticality.ordinal()] += result.isSignOfOverload() ? 1 : 0;
         }
     }
 
