Begin to refuse for wasted work only at a fifth of shed calls

Change: a fall begins only when more than 20% of at least 20 calls are shed; once lowered, the level is held to the tolerated 2% as before.

--- a/sequoianotch-policy/src/main/java/org/sequoianotch/policy/admission/WastedCallLevel.java
+++ b/sequoianotch-policy/src/main/java/org/sequoianotch/policy/admission/WastedCallLevel.java
@@ -23,10 +23,16 @@
     private static final int CLASSES = Criticality.values().length;
     private static final double TOLERATED_SHARE = 0.02;
     /** Among fewer calls the shed ones may be the retries of a single request, which say nothing of the others. */
-    private static final int LEAST_CALLS = 10;
+    private static final int LEAST_CALLS = 20;
+
+    /**
+     * A smaller share does not begin a fall, because bursts at light load shed a few calls, and refusing others for
+     * them costs more than it saves. Once the level is lowered, it is held to the tolerated share.
+     */
+    private static final double BEGIN_SHARE = 0.2;
 
     /** An interval with fewer calls goes on for this long. */
-    private static final double LONGEST_INTERVAL_MS = 1_000;
+    private static final double LONGEST_INTERVAL_MS = 2_000;
 
     /** A criticality is lowered if more than this part of its calls is shed; everything less important goes first. */
     private static final double SHED_CLASS_SHARE = 0.05;
@@ -106,9 +112,10 @@
             return;
         }
         judgeFall();
+        boolean overloaded = calls >= LEAST_CALLS && share > BEGIN_SHARE || level < LoadReport.ADMIT_ALL;
         if (share <= TOLERATED_SHARE / 2) {
             rise(nowMs);
-        } else if (share > TOLERATED_SHARE && shedCalls > 1 && calls >= LEAST_CALLS && nowMs >= holdUntilMs) {
+        } else if (overloaded && share > TOLERATED_SHARE && shedCalls > 1 && nowMs >= holdUntilMs) {
             fall(nowMs);
         }
         intervalStartMs = nowMs;
