Keep half of the retry budget for critical calls

Lookups that bellcat refuses share a node's retry budget for bellcat with bookings and used it up, so a booking refused there was not sent once more. Change: half of the burst of tokens is for critical calls. A new unit test holds it.

--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/CallForwarder.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/CallForwarder.java
@@ -150,8 +150,12 @@
         if (context.cancellation().isPresent() || !body.rewind()) {
             return false;
         }
-        RetryQuestion question =
-                new RetryQuestion(failure, outbound.route().repeat(), progress.attempts, context.timeLeftMs(clock));
+        RetryQuestion question = new RetryQuestion(
+                failure,
+                outbound.route().repeat(),
+                context.criticality(),
+                progress.attempts,
+                context.timeLeftMs(clock));
         return policies.retryPolicy(outbound.limits()).mayRetry(question, context.allowance());
     }
 
--- a/sequoianotch-policy/src/main/java/org/sequoianotch/policy/retry/ProtectiveRetryPolicy.java
+++ b/sequoianotch-policy/src/main/java/org/sequoianotch/policy/retry/ProtectiveRetryPolicy.java
@@ -39,7 +39,9 @@
         }
         // The budget is looked at first, so that a refused retry does not use up allowance of the request.
         synchronized (budget) {
-            return budget.hasToken() && allowance.takeForRetry() && budget.take();
+            return budget.hasToken(question.criticality())
+                    && allowance.takeForRetry()
+                    && budget.take(question.criticality());
         }
     }
 
--- a/sequoianotch-policy/src/main/java/org/sequoianotch/policy/retry/RetryBudget.java
+++ b/sequoianotch-policy/src/main/java/org/sequoianotch/policy/retry/RetryBudget.java
@@ -1,5 +1,6 @@
 package org.sequoianotch.policy.retry;
 
+import org.sequoianotch.model.Criticality;
 import org.sequoianotch.time.Clock;
 
 /**
@@ -11,6 +12,9 @@
 public final class RetryBudget {
     private static final double FLOOR_TOKENS_PER_MS = 0.001;
     private static final double BURST_TOKENS = 10;
+    /** Tokens that only critical calls may take, or refused lookups would use up the retries that bookings need. */
+    private static final double CRITICAL_TOKENS = 5;
+
     private static final double PERCENT = 100.0;
 
     private final double share;
@@ -41,24 +45,27 @@
     }
 
     /**
-     * Tells whether there is a token, without taking it.
+     * Tells whether there is a token for a call, without taking it.
      *
+     * @param criticality how much the call matters; not null
      * @return true if a retry is within the budget
      */
-    public synchronized boolean hasToken() {
+    public synchronized boolean hasToken(Criticality criticality) {
         double nowMs = clock.monotonicMs();
         tokens = Math.min(BURST_TOKENS, tokens + (nowMs - refilledAtMs) * FLOOR_TOKENS_PER_MS);
         refilledAtMs = nowMs;
-        return share > 0 && tokens >= 1;
+        double reserved = criticality == Criticality.CRITICAL ? 0 : CRITICAL_TOKENS;
+        return share > 0 && tokens >= 1 + reserved;
     }
 
     /**
      * Takes a token.
      *
+     * @param criticality how much the call matters; not null
      * @return true if there was one
      */
-    public synchronized boolean take() {
-        if (!hasToken()) {
+    public synchronized boolean take(Criticality criticality) {
+        if (!hasToken(criticality)) {
             return false;
         }
         tokens--;
--- a/sequoianotch-policy/src/main/java/org/sequoianotch/policy/retry/RetryQuestion.java
+++ b/sequoianotch-policy/src/main/java/org/sequoianotch/policy/retry/RetryQuestion.java
@@ -2,6 +2,7 @@
 
 import java.util.Objects;
 import org.sequoianotch.error.Failure;
+import org.sequoianotch.model.Criticality;
 import org.sequoianotch.template.RepeatRule;
 
 /**
@@ -11,14 +12,17 @@
  *
  * @param failure how the attempt failed; not null
  * @param repeat the repeat rule of the route; not null
+ * @param criticality how much the request matters; not null
  * @param attempts attempts made so far; at least 1
  * @param timeLeftMs time until the deadline, in milliseconds
  */
-public record RetryQuestion(Failure failure, RepeatRule repeat, int attempts, double timeLeftMs) {
+public record RetryQuestion(
+        Failure failure, RepeatRule repeat, Criticality criticality, int attempts, double timeLeftMs) {
     /** Checks the components. */
     public RetryQuestion {
         Objects.requireNonNull(failure, "failure");
         Objects.requireNonNull(repeat, "repeat");
+        Objects.requireNonNull(criticality, "criticality");
         if (attempts < 1) {
             throw new IllegalArgumentException("attempts is " + attempts + ", but must be at least 1");
         }
--- a/sequoianotch-policy/src/test/java/org/sequoianotch/policy/retry/RetryBoundTest.java
+++ b/sequoianotch-policy/src/test/java/org/sequoianotch/policy/retry/RetryBoundTest.java
@@ -11,6 +11,7 @@
 import org.junit.jupiter.params.provider.EnumSource;
 import org.sequoianotch.error.ErrorKind;
 import org.sequoianotch.error.Failure;
+import org.sequoianotch.model.Criticality;
 import org.sequoianotch.model.ServiceName;
 import org.sequoianotch.policy.PolicyMode;
 import org.sequoianotch.template.RepeatRule;
@@ -88,7 +89,26 @@
     }
 
     private static RetryQuestion question(ErrorKind kind, RepeatRule rule, double timeLeftMs) {
-        return new RetryQuestion(Failure.of(kind, ""), rule, 1, timeLeftMs);
+        return question(kind, rule, Criticality.CRITICAL, timeLeftMs);
+    }
+
+    private static RetryQuestion question(ErrorKind kind, RepeatRule rule, Criticality criticality, double timeLeftMs) {
+        return new RetryQuestion(Failure.of(kind, ""), rule, criticality, 1, timeLeftMs);
+    }
+
+    /** Guards against refused lookups that use up the retries which bookings need. */
+    @Test
+    void budgetKeepsRetriesForCriticalCalls() {
+        RetryPolicy policy = policy();
+        RetryAllowance allowance = RetryAllowance.of(100);
+        RetryQuestion lookup = question(ErrorKind.OVERLOADED, RepeatRule.SAFE, Criticality.STANDARD, 100);
+        RetryQuestion booking = question(ErrorKind.OVERLOADED, RepeatRule.NEVER, Criticality.CRITICAL, 100);
+        while (policy.mayRetry(lookup, allowance)) {
+            assertThat(allowance.remaining()).isAtLeast(1);
+        }
+
+        assertThat(policy.mayRetry(lookup, allowance)).isFalse();
+        assertThat(policy.mayRetry(booking, allowance)).isTrue();
     }
 
     /** A chain in which each instance calls the next service twice and any answer may be lost. */
@@ -111,8 +131,12 @@
                 if (attempt(depth, allowance)) {
                     return true;
                 }
-                RetryQuestion question =
-                        new RetryQuestion(Failure.of(ErrorKind.CONNECTION_LOST, ""), RepeatRule.SAFE, attempts, 1_000);
+                RetryQuestion question = new RetryQuestion(
+                        Failure.of(ErrorKind.CONNECTION_LOST, ""),
+                        RepeatRule.SAFE,
+                        Criticality.CRITICAL,
+                        attempts,
+                        1_000);
                 if (!policy.mayRetry(question, allowance)) {
                     return false;
                 }
--- a/sequoianotch-policy/src/test/java/org/sequoianotch/policy/simulation/SimulatedClient.java
+++ b/sequoianotch-policy/src/test/java/org/sequoianotch/policy/simulation/SimulatedClient.java
@@ -92,7 +92,8 @@
             double leftMs = request.deadlineAtMs - simulation.nowMs();
             if (failure.isPresent()
                     && retryPolicy.mayRetry(
-                            new RetryQuestion(failure.get(), RepeatRule.SAFE, attempts, leftMs), call.allowance())) {
+                            new RetryQuestion(failure.get(), RepeatRule.SAFE, request.criticality, attempts, leftMs),
+                            call.allowance())) {
                 next();
             } else {
                 call.done().accept(failure);
