Draw the region's other data centres before the own one refuses, and do not budget retries that add no load

- Cause: a sender used its own data centre until that refused calls, so the loss of an instance doubled the load on the services below it while another data centre of the region had free slots.
Change: from 80% utilisation on, instances of the region's other data centres are drawn as well.
- Retries after a host that cannot be reached or is leaving take only from the request's allowance: no backend server worked for the failed attempt.

--- a/sequoianotch-policy/src/main/java/org/sequoianotch/policy/retry/ProtectiveRetryPolicy.java
+++ b/sequoianotch-policy/src/main/java/org/sequoianotch/policy/retry/ProtectiveRetryPolicy.java
@@ -7,8 +7,9 @@
 /**
  * Retries within the request's allowance, the service's budget and the time left.
  *
- * <p>Calls on safe routes are repeated after every failure that another attempt may avoid. Calls on other routes are
- * repeated only if the failure proves that the call did not run. This class is thread-safe.
+ * <p>The budget does not count retries after a host that cannot be reached or that is leaving. Calls on safe routes are
+ * repeated after every failure that another attempt may avoid. Calls on other routes are repeated only if the failure
+ * proves that the call did not run. This class is thread-safe.
  */
 public final class ProtectiveRetryPolicy implements RetryPolicy {
     private final RetryBudget budget;
@@ -37,6 +38,9 @@
                 || !helps(question.failure().kind())) {
             return false;
         }
+        if (addsNoLoad(question.failure().kind())) {
+            return allowance.takeForRetry();
+        }
         // The budget is looked at first, so that a refused retry does not use up allowance of the request.
         synchronized (budget) {
             return budget.hasToken(question.criticality())
@@ -45,6 +49,14 @@
         }
     }
 
+    /**
+     * Tells whether the failed attempt took no work of any backend server, so that another one is no extra load. A
+     * killed host would otherwise use up the budget that the service needs for its other failures.
+     */
+    private static boolean addsNoLoad(ErrorKind kind) {
+        return kind == ErrorKind.NO_INSTANCE || kind == ErrorKind.DRAINING;
+    }
+
     /** Tells whether another attempt, sent at once to another instance, may end differently. */
     private static boolean helps(ErrorKind kind) {
         return switch (kind) {
--- a/sequoianotch-policy/src/main/java/org/sequoianotch/policy/routing/ProtectiveSelector.java
+++ b/sequoianotch-policy/src/main/java/org/sequoianotch/policy/routing/ProtectiveSelector.java
@@ -20,8 +20,9 @@
 /**
  * Routing by what this node has seen of each instance and by the reported loads.
  *
- * <p>The data centre comes first, then the region. A part of the calls that the data centre does not admit goes to the
- * rest of the region. Another region is chosen if nothing else is left, or if the time saved pays for the volume. Of
+ * <p>The data centre comes first, then the region. If the data centre is nearly full, the rest of the region is drawn
+ * as well, and a part of the calls that the data centre does not admit goes there. Another region is chosen if nothing
+ * else is left, or if the time saved pays for the volume. Of
  * two random instances the one with the lower expected load is taken; cold instances are drawn less often. Ejected
  * instances get single probes, and if every candidate is ejected, ejection does not count. This class is thread-safe.
  */
@@ -29,6 +30,12 @@
     private static final double COLDEST_WEIGHT = 0.1;
     private static final double LOWEST_LATENCY_MS = 0.1;
     private static final double LOWEST_FRACTION = 0.1;
+    /**
+     * Utilisation from which the instances of the region's other data centres are drawn as well. Waiting for refusals
+     * instead let the queues of one data centre fill while another one had free slots.
+     */
+    private static final double BUSY_UTILISATION = 0.8;
+
     /** Round trip between two regions, for an instance there that this node has not called lately. */
     private static final double CROSS_REGION_ROUND_TRIP_MS = 40;
     /** Savings below this are within the noise of the averages. */
@@ -130,6 +137,10 @@
         }
         Criticality criticality = request.criticality();
         List<Candidate> preferred = local.isEmpty() || spills(criticality, local, near, nowMs) ? near : local;
+        if (preferred == local && isBusierThan(local, near, nowMs)) {
+            preferred = new ArrayList<>(local);
+            preferred.addAll(near);
+        }
         if (preferred.isEmpty()) {
             return best(criticality, far, nowMs);
         }
@@ -151,6 +162,23 @@
                 && random.nextDouble() >= localFraction;
     }
 
+    /** Tells whether the data centre is nearly full while the rest of the region has room. */
+    private static boolean isBusierThan(List<Candidate> local, List<Candidate> near, double nowMs) {
+        double localUse = utilisation(local, nowMs);
+        return !near.isEmpty() && localUse >= BUSY_UTILISATION && utilisation(near, nowMs) < localUse;
+    }
+
+    private static double utilisation(List<Candidate> candidates, double nowMs) {
+        return candidates.stream()
+                .mapToDouble(candidate -> candidate
+                        .stats()
+                        .freshLoad(nowMs)
+                        .map(LoadReport::utilisation)
+                        .orElse(0.0))
+                .average()
+                .orElse(0);
+    }
+
     private static double admittedFraction(Criticality criticality, List<Candidate> candidates, double nowMs) {
         return candidates.stream()
                 .mapToDouble(candidate -> candidate.stats().admittedFraction(criticality, nowMs))
--- a/sequoianotch-policy/src/test/java/org/sequoianotch/policy/retry/RetryBoundTest.java
+++ b/sequoianotch-policy/src/test/java/org/sequoianotch/policy/retry/RetryBoundTest.java
@@ -111,6 +111,18 @@
         assertThat(policy.mayRetry(booking, allowance)).isTrue();
     }
 
+    /** Guards against calls that fail with a host that was killed because the budget is used up. */
+    @Test
+    void unreachableHostsAreBoundedByTheAllowanceOnly() {
+        RetryPolicy policy = policy();
+        RetryQuestion unreachable = question(ErrorKind.NO_INSTANCE, RepeatRule.NEVER, Criticality.SHEDDABLE, 100);
+        for (int i = 0; i < 100; i++) {
+            RetryAllowance allowance = RetryAllowance.of(1);
+            assertThat(policy.mayRetry(unreachable, allowance)).isTrue();
+            assertThat(policy.mayRetry(unreachable, allowance)).isFalse();
+        }
+    }
+
     /** A chain in which each instance calls the next service twice and any answer may be lost. */
     private static final class Chain {
         private final PolicyMode mode;
--- a/sequoianotch-policy/src/test/java/org/sequoianotch/policy/routing/ProtectiveSelectorTest.java
+++ b/sequoianotch-policy/src/test/java/org/sequoianotch/policy/routing/ProtectiveSelectorTest.java
@@ -28,6 +28,7 @@
 /** Guards against instances that attract calls that they cannot serve, and against needless traffic over regions. */
 final class ProtectiveSelectorTest {
     private static final LoadReport IDLE = new LoadReport(0, 10, 0, 3.0);
+    private static final LoadReport BUSY = new LoadReport(9, 10, 0, 3.0);
     private static final LoadReport FULL = new LoadReport(10, 10, 20, 1.0);
 
     private long bodyBytes = 1_024;
@@ -105,6 +106,21 @@
         assertThat(calls.get(host(2))).isGreaterThan(80);
     }
 
+    /** Guards against a full queue in one data centre while another one of the region has free slots. */
+    @Test
+    void regionIsDrawnBeforeTheDataCentreRefuses() {
+        reset(2);
+        instances.add(instance(2, "quimper", "west", 0));
+        InstanceSelector selector = selector(PolicyMode.PROTECTIVE, 1, 0);
+        run(selector, Criticality.STANDARD, 100);
+        loads.put(host(0), BUSY);
+        loads.put(host(1), BUSY);
+        calls.clear();
+        run(selector, Criticality.STANDARD, 300);
+        assertThat(calls.get(host(2))).isGreaterThan(100);
+        assertThat(calls.get(host(0)) + calls.get(host(1))).isGreaterThan(0);
+    }
+
     @Test
     void otherRegionIsUsedOnlyIfTheTimeSavedPaysOrNothingElseIsLeft() {
         reset(1);
