Remove code that nothing calls, and read the load once for each admitted call

CallHeader.withAttempt, HttpListener.connectionCount and ReplayBody.tookNothing had no callers left. The record of an admitted call took the admission's lock twice for its two figures, which could also come from different moments. Behaviour is the same.

--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/InstanceServer.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/InstanceServer.java
@@ -207,15 +207,13 @@
             return Either.left(
                     Failure.of(ErrorKind.DEADLINE_BEFORE_RUN, "The deadline passed while the call was waiting."));
         }
+        LoadReport load = instance.admission().load();
         journal.record(
                 context.requestId(),
                 EventKind.ADMITTED,
                 String.format(
                         "Sent to the backend server of %s after %.1f ms in the queue, with %d of %d calls in flight.",
-                        header.service(),
-                        permit.waitedMs(),
-                        instance.admission().load().inFlight(),
-                        instance.admission().load().limit()));
+                        header.service(), permit.waitedMs(), load.inFlight(), load.limit()));
         boolean started = connection.start(
                 header.method(), header.path(), backendHeaders(header, context), header.bodyBytes(), leftMs(context));
         if (!started) {
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/ReplayBody.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/ReplayBody.java
@@ -60,8 +60,4 @@
         kept.add(bytes);
         position++;
     }
-
-    boolean tookNothing() {
-        return keptBytes == 0;
-    }
 }
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/HttpExchange.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/HttpExchange.java
@@ -41,7 +41,6 @@
         this.connection = connection;
         this.head = head;
         this.readTimeoutMs = readTimeoutMs;
-        this.bodyRead = false;
     }
 
     /**
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/HttpListener.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/HttpListener.java
@@ -78,15 +78,6 @@
         return (InetSocketAddress) serverChannel.localAddress();
     }
 
-    /**
-     * Returns the number of open connections.
-     *
-     * @return the number; not negative
-     */
-    public int connectionCount() {
-        return connections.size();
-    }
-
     /**
      * Stops accepting connections, lets requests in flight finish and closes every connection.
      *
--- a/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/CallHeader.java
+++ b/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/CallHeader.java
@@ -64,26 +64,4 @@
     public Optional<String> key() {
         return Optional.ofNullable(idempotencyKey);
     }
-
-    /**
-     * Returns a copy for another attempt.
-     *
-     * @param newTimeLeftMs time until the deadline, in milliseconds; positive
-     * @param newRetryShare retries that the callee may use; not negative
-     * @return the copy, never null
-     */
-    public CallHeader withAttempt(long newTimeLeftMs, int newRetryShare) {
-        return new CallHeader(
-                requestId,
-                service,
-                method,
-                path,
-                headers,
-                newTimeLeftMs,
-                criticality,
-                newRetryShare,
-                depth,
-                idempotencyKey,
-                bodyBytes);
-    }
 }
