--- /dev/null
+++ b/deploy/build.sh
@@ -0,0 +1,16 @@
+#!/usr/bin/env bash
+# Builds what runs on the platform into target/: a Java runtime, the jars, and the launcher's argument files.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+source bin/java-launch.sh
+mvn -B -ntp -q -DskipTests -Dspotless.check.skip -Dcheckstyle.skip package
+jdk=$(dirname "$(dirname "$(find_java)")")
+rm -rf target/runtime target/app
+mkdir -p target/app
+cp platform/target/sequoianotch-platform-*.jar platform/target/lib/*.jar target/app/
+"$jdk/bin/jlink" --output target/runtime --strip-debug --no-header-files --no-man-pages \
+    --add-modules java.base,java.logging,java.management,java.desktop,java.sql,java.naming,java.xml,java.compiler,jdk.unsupported,jdk.net
+path=$(printf '%s:' target/app/*.jar)
+for role in node control; do
+    { cat "deploy/$role.jvm"; echo "-cp ${path%:}"; } > "target/$role.jvm"
+done
--- a/sequoianotch-control/src/main/java/org/sequoianotch/control/Admission.java
+++ b/sequoianotch-control/src/main/java/org/sequoianotch/control/Admission.java
@@ -4,7 +4,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.SortedMap;
+import java.util.SortedSet;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.UUID;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.apache.logging.log4j.LogManager;
@@ -34,74 +37,83 @@
     private static final long CATCH_UP_CHECK_MS = 20;
 
     private final ControlGroupOptions options;
+    private final ControlDirectory directory;
     private final RaftMember raft;
     private final Asker asker;
     private final Clock clock;
     private final AtomicBoolean changing = new AtomicBoolean();
 
-    Admission(ControlGroupOptions options, RaftMember raft, Asker asker, Clock clock) {
+    Admission(ControlGroupOptions options, ControlDirectory directory, RaftMember raft, Asker asker, Clock clock) {
         this.options = options;
+        this.directory = directory;
         this.raft = raft;
         this.asker = asker;
         this.clock = clock;
     }
 
     HelloAnswer hello() {
-        return new HelloAnswer(self(), raft.isFormed(), options.hosts().toString());
+        return new HelloAnswer(
+                self(), raft.isFormed(), options.formation().founderAddresses().toString());
     }
 
     private Member self() {
-        return new Member(raft.status().memberId(), options.host(), ownAddress());
+        return new Member(raft.status().memberId(), options.host(), options.ownAddress());
     }
 
-    private String ownAddress() {
-        return options.hosts().getOrDefault(options.host(), "");
-    }
-
-    /** One attempt of a host that is no member to form a group, or to be admitted by one. */
+    /** One attempt of a host that is no member, or does not hear of its group, to form a group or to be admitted. */
     void formOrJoin() {
-        Map<HostId, HelloAnswer> answers = new TreeMap<>();
-        options.hosts().forEach((host, address) -> {
-            if (!host.equals(options.host())) {
-                ask(address, new Question.Hello()).map(HelloAnswer::of).peek(answer -> answers.put(host, answer));
-            }
-        });
-        List<HostId> formed = answers.entrySet().stream()
+        SortedSet<String> addresses = new TreeSet<>(options.formation().founderAddresses());
+        addresses.addAll(directory.hosts().values());
+        addresses.remove(options.ownAddress());
+        SortedMap<String, HelloAnswer> answers = new TreeMap<>();
+        for (String address : addresses) {
+            ask(address, new Question.Hello()).map(HelloAnswer::of).peek(answer -> answers.put(address, answer));
+        }
+        List<String> formed = answers.entrySet().stream()
                 .filter(entry -> entry.getValue().formed())
                 .map(Map.Entry::getKey)
                 .toList();
         if (!formed.isEmpty()) {
             Member self = self();
             Question join = new Question.Join(self.id(), self.host(), self.address());
-            formed.forEach(host -> ask(options.hosts().getOrDefault(host, ""), join));
+            formed.forEach(address -> ask(address, join));
         } else if (!raft.isFormed() && mayForm(answers)) {
             MemberSet founders = new MemberSet(UUID.randomUUID().toString(), List.of(self()));
-            for (HelloAnswer answer : answers.values()) {
-                founders = founders.plus(answer.member());
+            for (String address : options.formation().founderAddresses()) {
+                HelloAnswer answer = answers.get(address);
+                if (answer != null) {
+                    founders = founders.plus(answer.member());
+                }
             }
             raft.form(founders);
         }
     }
 
-    private boolean mayForm(Map<HostId, HelloAnswer> answers) {
-        boolean lowest = options.hosts().firstKey().equals(options.host());
-        boolean complete = answers.size() == options.hosts().size() - 1;
-        String ownHosts = options.hosts().toString();
-        return lowest
+    private boolean mayForm(Map<String, HelloAnswer> answers) {
+        List<String> founders = options.formation().founderAddresses();
+        boolean first = founders.getFirst().equals(options.ownAddress());
+        boolean complete = founders.stream()
+                .allMatch(address -> address.equals(options.ownAddress()) || answers.containsKey(address));
+        return options.formation().founding()
+                && first
                 && complete
-                && answers.values().stream().allMatch(answer -> answer.hosts().equals(ownHosts));
+                && founders.stream()
+                        .filter(answers::containsKey)
+                        .allMatch(address -> answers.get(address).hosts().equals(founders.toString()));
     }
 
     /** Takes a request to join, and carries it out in the background as the leader. */
     Either<Failure, byte[]> join(HostId from, Question.Join join) {
-        if (!from.equals(join.host()) || !options.hosts().containsKey(from)) {
-            return Either.left(Failure.of(
-                    ErrorKind.BAD_REQUEST, "Host " + from + " is not one of the control hosts in the settings."));
+        if (!from.equals(join.host()) || !directory.hosts().containsKey(from)) {
+            return Either.left(
+                    Failure.of(ErrorKind.BAD_REQUEST, "Host " + from + " is not one of the known control hosts."));
         }
         Member newcomer = new Member(join.memberId(), join.host(), join.address());
         return raft.readCurrent(() -> raft.status().members()).flatMap(members -> {
             boolean known = members.member(newcomer.id()).isPresent();
-            if (!known && changing.compareAndSet(false, true)) {
+            boolean room = members.members().size() < options.formation().maxVoters()
+                    || members.memberOf(newcomer.host()).isPresent();
+            if (!known && room && changing.compareAndSet(false, true)) {
                 Thread.ofVirtual().name("control-admission").start(() -> {
                     try {
                         admit(newcomer)
@@ -138,6 +150,21 @@
         });
     }
 
+    /** Removes a member that is gone for good, as the leader, if enough members are left without it. */
+    void removeSilent() {
+        GroupFormation formation = options.formation();
+        if (formation.removeSilentAfterMs() == 0
+                || raft.status().members().members().size() <= formation.minVoters()) {
+            return;
+        }
+        raft.silentVoter(formation.removeSilentAfterMs()).ifPresent(silent -> remove(silent.host())
+                .peek(done -> LOGGER.info(
+                        "[control] Removed {}, which had not answered for {} ms.",
+                        silent,
+                        formation.removeSilentAfterMs()))
+                .peekLeft(failure -> LOGGER.warn("[control] {} could not be removed: {}", silent, failure.detail())));
+    }
+
     private interface MemberChange {
         Either<Failure, byte[]> run();
     }
--- a/sequoianotch-control/src/main/java/org/sequoianotch/control/ControlGroup.java
+++ b/sequoianotch-control/src/main/java/org/sequoianotch/control/ControlGroup.java
@@ -23,6 +23,7 @@
 import org.sequoianotch.control.state.AuditRecord;
 import org.sequoianotch.control.state.ChangeRequest;
 import org.sequoianotch.control.state.ChangeResult;
+import org.sequoianotch.control.state.ConfigurationCheck;
 import org.sequoianotch.control.state.ControlError;
 import org.sequoianotch.control.state.TemplateState;
 import org.sequoianotch.control.state.TemplateTexts;
@@ -44,6 +45,8 @@
     private static final Logger LOGGER = LogManager.getLogger(ControlGroup.class);
     private static final int TICKS_PER_ELECTION_TIMEOUT = 20;
     private static final long RETRY_MS = 50;
+    /** Two elections may fail before a member supposes that its group no longer counts it. */
+    private static final int LOST_CONTACT_ELECTIONS = 3;
     /** Bounds the wait of a question, so that a closed host does not hold one for long. */
     private static final long MAX_FETCH_WAIT_MS = 30_000;
 
@@ -53,7 +56,8 @@
     private final Asker asker;
     private final Clock clock;
     private final RevisionBoard board = new RevisionBoard();
-    private final TemplateState state = new TemplateState();
+    private final ControlDirectory directory;
+    private final TemplateState state;
     private final List<Consumer<TemplateTexts>> listeners = new CopyOnWriteArrayList<>();
     private final List<Thread> threads = new CopyOnWriteArrayList<>();
     private volatile @Nullable Running running;
@@ -68,7 +72,27 @@
      * @param clock the clock; not null
      */
     public ControlGroup(ControlGroupOptions options, Asker asker, Clock clock) {
+        this(options, options::hosts, ConfigurationCheck.TEMPLATES, asker, clock);
+    }
+
+    /**
+     * Creates a member that is not started, of a group whose hosts are not all known beforehand.
+     *
+     * @param options the options; not null
+     * @param directory the control hosts that are known; not null
+     * @param check decides which texts are accepted; not null
+     * @param asker sends questions to other hosts; not null
+     * @param clock the clock; not null
+     */
+    public ControlGroup(
+            ControlGroupOptions options,
+            ControlDirectory directory,
+            ConfigurationCheck check,
+            Asker asker,
+            Clock clock) {
         this.options = Objects.requireNonNull(options, "options");
+        this.directory = Objects.requireNonNull(directory, "directory");
+        this.state = new TemplateState(check);
         this.asker = Objects.requireNonNull(asker, "asker");
         this.clock = Objects.requireNonNull(clock, "clock");
     }
@@ -83,18 +107,22 @@
         if (running != null) {
             throw new IllegalStateException("the control group member was started before");
         }
+        Running started = open();
+        running = started;
+        startThread("control-tick", () -> tickLoop(started));
+        startThread("control-formation", this::formationLoop);
+        startThread("control-listeners", this::listenerLoop);
+    }
+
+    private Running open() {
         DiskFolder folder = DiskFolder.open(options.dataFolder());
         try {
-            MemberStore store = MemberStore.open(folder, options.host().name() + "." + UUID.randomUUID());
+            MemberStore store = openStore(folder);
             RaftMember raft =
                     new RaftMember(store, new PublishingState(state, board), options.settings(), clock, new Random());
-            PeerTasks tasks = new PeerTasks(raft, asker, options);
-            Running started = new Running(store, raft, tasks, new Admission(options, raft, asker, clock));
-            running = started;
-            startThread("control-tick", () -> tickLoop(started));
-            startThread("control-formation", () -> formationLoop(started));
-            startThread("control-listeners", this::listenerLoop);
+            PeerTasks tasks = new PeerTasks(raft, asker, options, directory);
             LOGGER.info("[control] Started as member {}; the folder has revision {}.", store.memberId(), revision());
+            return new Running(store, raft, tasks, new Admission(options, directory, raft, asker, clock));
         } catch (StorageException e) {
             folder.close();
             throw e;
@@ -104,6 +132,20 @@
         }
     }
 
+    private MemberStore openStore(DiskFolder folder) {
+        String newMemberId = options.host().name() + "." + UUID.randomUUID();
+        try {
+            return MemberStore.open(folder, newMemberId);
+        } catch (StorageException e) {
+            if (!e.isDamage() || !options.formation().discardsDamage()) {
+                throw e;
+            }
+            LOGGER.error("[control] The data folder is damaged and emptied; this host joins as a new member.", e);
+            MemberStore.discard(folder);
+            return MemberStore.open(folder, newMemberId);
+        }
+    }
+
     private interface Loop {
         void run() throws InterruptedException;
     }
@@ -118,23 +160,74 @@
         }));
     }
 
-    private void tickLoop(Running started) throws InterruptedException {
+    private void tickLoop(Running first) throws InterruptedException {
         long intervalMs = Math.max(1, options.settings().electionTimeoutMs() / TICKS_PER_ELECTION_TIMEOUT);
+        Running present = first;
         while (running != null) {
-            started.raft().tick();
-            started.tasks().refresh();
+            present.raft().tick();
+            present.tasks().refresh();
+            if (options.formation().discardsDamage()
+                    && !present.raft().status().fault().isEmpty()) {
+                present = reopen(present);
+            }
             clock.sleep(intervalMs);
         }
     }
 
-    private void formationLoop(Running started) throws InterruptedException {
-        while (running != null && !started.raft().isVoter()) {
+    /** After a failed write the disk may be usable again; what it holds is read anew, because memory may differ. */
+    private Running reopen(Running failed) throws InterruptedException {
+        failed.tasks().close();
+        closeQuietly(failed);
+        while (running != null) {
+            clock.sleep(options.settings().electionTimeoutMs());
+            try {
+                Running opened = open();
+                synchronized (this) {
+                    if (running != null) {
+                        running = opened;
+                        return opened;
+                    }
+                }
+                closeQuietly(opened);
+            } catch (StorageException e) {
+                LOGGER.warn("[control] The data folder cannot be opened yet: {}", e.getMessage());
+            }
+        }
+        return failed;
+    }
+
+    private static void closeQuietly(Running closing) {
+        try {
+            closing.raft().stop();
+            closing.store().close();
+        } catch (StorageException e) {
+            LOGGER.warn("[control] The data folder could not be closed: {}", e.getMessage());
+        }
+    }
+
+    private void formationLoop() throws InterruptedException {
+        double contactAtMs = clock.monotonicMs();
+        Running present = running;
+        while (present != null) {
+            double nowMs = clock.monotonicMs();
+            if (present.raft().isVoter() && present.raft().status().inContact()) {
+                contactAtMs = nowMs;
+            }
+            // A member that was removed while it was away hears from nobody; asking to join tells the leader of it.
+            boolean forgotten = options.formation().removeSilentAfterMs() > 0
+                    && nowMs - contactAtMs
+                            > LOST_CONTACT_ELECTIONS * options.settings().electionTimeoutMs();
             try {
-                started.admission().formOrJoin();
+                if (!present.raft().isVoter() || forgotten) {
+                    present.admission().formOrJoin();
+                } else {
+                    present.admission().removeSilent();
+                }
             } catch (IllegalArgumentException e) {
                 LOGGER.warn("[control] A control host gave a malformed answer: {}", e.getMessage());
             }
             clock.sleep(Math.max(1, options.settings().electionTimeoutMs() / 2));
+            present = running;
         }
     }
 
@@ -208,7 +301,7 @@
     }
 
     private Either<Failure, byte[]> readHere() {
-        return raft().readCurrent(state::texts).map(texts -> {
+        return raft().readConfirmed(state::texts, options.changeTimeoutMs()).map(texts -> {
             Encoder encoder = new Encoder();
             texts.encode(encoder);
             return encoder.toBytes();
@@ -242,7 +335,8 @@
             return local.get();
         }
         return asker.ask(
-                        options.hosts()
+                        directory
+                                .hosts()
                                 .getOrDefault(leader.get().host(), leader.get().address()),
                         Topic.CONTROL,
                         forwarded.toBytes(),
--- a/sequoianotch-control/src/main/java/org/sequoianotch/control/ControlGroupOptions.java
+++ b/sequoianotch-control/src/main/java/org/sequoianotch/control/ControlGroupOptions.java
@@ -1,6 +1,7 @@
 package org.sequoianotch.control;
 
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.Collections;
 import java.util.Objects;
 import java.util.SortedMap;
@@ -19,6 +20,7 @@
  * @param settings limits of the quorum protocol; not null
  * @param changeTimeoutMs longest wait for a change or a read, in milliseconds; positive
  * @param admissionTimeoutMs longest wait until a new member has caught up, in milliseconds; positive
+ * @param formation how the group forms and changes; not null
  */
 public record ControlGroupOptions(
         HostId host,
@@ -26,7 +28,8 @@
         Path dataFolder,
         GroupSettings settings,
         long changeTimeoutMs,
-        long admissionTimeoutMs) {
+        long admissionTimeoutMs,
+        GroupFormation formation) {
     private static final long DEFAULT_CHANGE_TIMEOUT_MS = 10_000;
     private static final long DEFAULT_ADMISSION_TIMEOUT_MS = 60_000;
 
@@ -34,6 +37,7 @@
     public ControlGroupOptions {
         Objects.requireNonNull(dataFolder, "dataFolder");
         Objects.requireNonNull(settings, "settings");
+        Objects.requireNonNull(formation, "formation");
         hosts = Collections.unmodifiableSortedMap(new TreeMap<>(hosts));
         if (!hosts.containsKey(host)) {
             throw new IllegalArgumentException("host " + host + " is not one of the control hosts " + hosts.keySet());
@@ -60,6 +64,16 @@
                 dataFolder,
                 GroupSettings.of(electionTimeoutMs),
                 DEFAULT_CHANGE_TIMEOUT_MS,
-                DEFAULT_ADMISSION_TIMEOUT_MS);
+                DEFAULT_ADMISSION_TIMEOUT_MS,
+                GroupFormation.fixed(new ArrayList<>(new TreeMap<>(hosts).values())));
+    }
+
+    /**
+     * Returns the address of this host's peer listener.
+     *
+     * @return the address, never null
+     */
+    String ownAddress() {
+        return hosts.get(host);
     }
 }
--- a/sequoianotch-control/src/main/java/org/sequoianotch/control/PeerTasks.java
+++ b/sequoianotch-control/src/main/java/org/sequoianotch/control/PeerTasks.java
@@ -11,7 +11,6 @@
 import org.sequoianotch.control.group.Outgoing;
 import org.sequoianotch.control.group.RaftMember;
 import org.sequoianotch.error.Failure;
-import org.sequoianotch.model.HostId;
 import org.sequoianotch.protocol.Topic;
 import org.sequoianotch.protocol.link.Asker;
 
@@ -21,15 +20,15 @@
 
     private final RaftMember member;
     private final Asker asker;
-    private final Map<HostId, String> hosts;
+    private final ControlDirectory directory;
     private final long requestTimeoutMs;
     private final long idleWaitMs;
     private final Map<String, Thread> threads = new ConcurrentHashMap<>();
 
-    PeerTasks(RaftMember member, Asker asker, ControlGroupOptions options) {
+    PeerTasks(RaftMember member, Asker asker, ControlGroupOptions options, ControlDirectory directory) {
         this.member = member;
         this.asker = asker;
-        this.hosts = options.hosts();
+        this.directory = directory;
         this.requestTimeoutMs = options.settings().requestTimeoutMs();
         this.idleWaitMs = Math.max(1, options.settings().heartbeatMs() / 4);
     }
@@ -55,12 +54,12 @@
     }
 
     private void run(Member peer) {
-        // The settings win over the address that was written into the log when the member was admitted.
-        String address = hosts.getOrDefault(peer.host(), peer.address());
         try {
             while (!Thread.currentThread().isInterrupted()) {
                 var question = member.awaitNext(peer.id(), idleWaitMs);
-                question.ifPresent(outgoing -> send(address, outgoing));
+                // The directory wins over the address that was written into the log when the member was admitted.
+                question.ifPresent(
+                        outgoing -> send(directory.hosts().getOrDefault(peer.host(), peer.address()), outgoing));
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
--- a/sequoianotch-control/src/main/java/org/sequoianotch/control/codec/Decoder.java
+++ b/sequoianotch-control/src/main/java/org/sequoianotch/control/codec/Decoder.java
@@ -75,6 +75,15 @@
                 unpacker.readPayload(checkLength(unpacker.unpackRawStringHeader())), StandardCharsets.UTF_8));
     }
 
+    /**
+     * Reads a text that was written in compressed form.
+     *
+     * @return the text, never null
+     */
+    public String packedText() {
+        return TextPacking.unpack(bytes());
+    }
+
     /**
      * Reads bytes.
      *
--- a/sequoianotch-control/src/main/java/org/sequoianotch/control/codec/Encoder.java
+++ b/sequoianotch-control/src/main/java/org/sequoianotch/control/codec/Encoder.java
@@ -55,6 +55,16 @@
         return step(() -> packer.packString(value));
     }
 
+    /**
+     * Writes a text in compressed form.
+     *
+     * @param value the text; not null
+     * @return this encoder
+     */
+    public Encoder packedText(String value) {
+        return bytes(TextPacking.pack(value));
+    }
+
     /**
      * Writes bytes.
      *
--- /dev/null
+++ b/sequoianotch-control/src/main/java/org/sequoianotch/control/codec/TextPacking.java
@@ -0,0 +1,58 @@
+package org.sequoianotch.control.codec;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.zip.DataFormatException;
+import java.util.zip.Deflater;
+import java.util.zip.Inflater;
+
+/** Compresses texts of configurations, which repeat themselves and are sent to every node. This class is stateless. */
+final class TextPacking {
+    /** Largest text that is unpacked; a configuration of 10,000 routes has about 3 MB. */
+    static final int MAX_TEXT_BYTES = 16 * 1024 * 1024;
+
+    private static final int BUFFER_BYTES = 8_192;
+
+    private TextPacking() {}
+
+    static byte[] pack(String text) {
+        Deflater deflater = new Deflater(Deflater.BEST_SPEED);
+        try {
+            deflater.setInput(text.getBytes(StandardCharsets.UTF_8));
+            deflater.finish();
+            ByteArrayOutputStream packed = new ByteArrayOutputStream();
+            byte[] buffer = new byte[BUFFER_BYTES];
+            while (!deflater.finished()) {
+                packed.write(buffer, 0, deflater.deflate(buffer));
+            }
+            return packed.toByteArray();
+        } finally {
+            deflater.end();
+        }
+    }
+
+    static String unpack(byte[] packed) {
+        Inflater inflater = new Inflater();
+        try {
+            inflater.setInput(packed);
+            ByteArrayOutputStream text = new ByteArrayOutputStream();
+            byte[] buffer = new byte[BUFFER_BYTES];
+            while (!inflater.finished()) {
+                int count = inflater.inflate(buffer);
+                if (count == 0 && !inflater.finished()) {
+                    throw new IllegalArgumentException("the message contains a packed text that ends early");
+                }
+                text.write(buffer, 0, count);
+                if (text.size() > MAX_TEXT_BYTES) {
+                    throw new IllegalArgumentException(
+                            "the message contains a packed text of more than " + MAX_TEXT_BYTES + " bytes");
+                }
+            }
+            return text.toString(StandardCharsets.UTF_8);
+        } catch (DataFormatException e) {
+            throw new IllegalArgumentException("the message contains a damaged packed text", e);
+        } finally {
+            inflater.end();
+        }
+    }
+}
--- a/sequoianotch-control/src/main/java/org/sequoianotch/control/group/PeerProgress.java
+++ b/sequoianotch-control/src/main/java/org/sequoianotch/control/group/PeerProgress.java
@@ -21,6 +21,8 @@
     long snapshotOffset;
     long snapshotIndex;
     boolean askedForVote;
+    /** Set when a question is wanted at once, although no heartbeat is due. */
+    boolean hurried;
 
     PeerProgress(Member member) {
         this.member = member;
@@ -38,5 +40,6 @@
         snapshotOffset = 0;
         snapshotIndex = 0;
         askedForVote = false;
+        hurried = false;
     }
 }
--- a/sequoianotch-control/src/main/java/org/sequoianotch/control/group/PeerTable.java
+++ b/sequoianotch-control/src/main/java/org/sequoianotch/control/group/PeerTable.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Collections;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -117,11 +118,12 @@
     }
 
     Optional<Request> appendRequest(PeerProgress peer, Member leader, double nowMs) {
-        boolean heartbeatDue = peer.sentAtMs + settings.heartbeatMs() <= nowMs;
+        boolean heartbeatDue = peer.hurried || peer.sentAtMs + settings.heartbeatMs() <= nowMs;
         boolean news = peer.nextIndex <= replica.store.lastIndex() || peer.sentCommitIndex < replica.commitIndex();
         if (!heartbeatDue && (peer.silent || !news)) {
             return Optional.empty();
         }
+        peer.hurried = false;
         long term = replica.store.term();
         String groupId = replica.members().groupId();
         if (peer.nextIndex <= replica.store.snapshot().lastIndex()) {
@@ -200,6 +202,19 @@
         return indexes.isEmpty() ? 0 : indexes.get(replica.members().majority() - 1);
     }
 
+    /** Asks every peer at once, so that a majority soon confirms that this member still leads. */
+    void hurry() {
+        peers.values().forEach(peer -> peer.hurried = true);
+    }
+
+    /** Returns the voter that has been silent for longest, if that is at least the given time. */
+    Optional<Member> silentVoter(double nowMs, double leadsSinceMs, double silentMs) {
+        return peers.values().stream()
+                .filter(peer -> peer.voter && Math.max(peer.answeredAtMs, leadsSinceMs) + silentMs <= nowMs)
+                .min(Comparator.comparingDouble(peer -> peer.answeredAtMs))
+                .map(peer -> peer.member);
+    }
+
     /** Returns the latest time since which a majority of the members has answered. */
     double majorityAnsweredAtMs(double nowMs) {
         List<Double> times = new ArrayList<>();
--- a/sequoianotch-control/src/main/java/org/sequoianotch/control/group/RaftMember.java
+++ b/sequoianotch-control/src/main/java/org/sequoianotch/control/group/RaftMember.java
@@ -413,6 +413,48 @@
         return holdsLease() ? Either.right(reader.get()) : Either.left(notLeading());
     }
 
+    /**
+     * Reads the state as current once a majority has confirmed, by answers to questions sent after the call began, that
+     * this member leads. Unlike a lease this holds also if the process was suspended in between.
+     *
+     * @param <T> type of the result
+     * @param reader called under the lock; not null
+     * @param timeoutMs longest wait in milliseconds; positive
+     * @return the result, or the failure if no majority confirmed it in time
+     */
+    public synchronized <T> Either<Failure, T> readConfirmed(Supplier<T> reader, long timeoutMs) {
+        double startMs = clock.monotonicMs();
+        long startTerm = term();
+        peers.hurry();
+        notifyAll();
+        try {
+            while (role == Role.LEADER && term() == startTerm && fault.isEmpty()) {
+                double nowMs = clock.monotonicMs();
+                if (peers.majorityAnsweredAtMs(nowMs) >= startMs && replica.commitIndex() >= termStartIndex) {
+                    return Either.right(reader.get());
+                }
+                double leftMs = startMs + timeoutMs - nowMs;
+                if (leftMs <= 0) {
+                    break;
+                }
+                wait((long) Math.ceil(leftMs));
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        return Either.left(notLeading());
+    }
+
+    /**
+     * Returns a voter that has not answered this leader for a time.
+     *
+     * @param silentMs the time in milliseconds; positive
+     * @return the voter that has been silent for longest, or empty if there is none or this member does not lead
+     */
+    public synchronized Optional<Member> silentVoter(long silentMs) {
+        return holdsLease() ? peers.silentVoter(clock.monotonicMs(), leadsSinceMs, silentMs) : Optional.empty();
+    }
+
     /**
      * Reads the state as it is known here, which is not necessarily the current one.
      *
--- a/sequoianotch-control/src/main/java/org/sequoianotch/control/log/DiskFolder.java
+++ b/sequoianotch-control/src/main/java/org/sequoianotch/control/log/DiskFolder.java
@@ -1,7 +1,7 @@
 package org.sequoianotch.control.log;
 
 import java.io.IOException;
-import java.nio.ByteBuffer;
+import java.io.RandomAccessFile;
 import java.nio.channels.FileChannel;
 import java.nio.channels.FileLock;
 import java.nio.channels.OverlappingFileLockException;
@@ -24,7 +24,8 @@
 
     private final Path folder;
     private final FileChannel lockChannel;
-    private final Map<String, FileChannel> appendChannels = new HashMap<>();
+    /** Not channels: an interrupt of the writing thread would close a channel, and with it the member. */
+    private final Map<String, RandomAccessFile> openFiles = new HashMap<>();
 
     private DiskFolder(Path folder, FileChannel lockChannel) {
         this.folder = folder;
@@ -77,14 +78,11 @@
         Path file = folder.resolve(name);
         Path temporary = folder.resolve(name + TEMPORARY_SUFFIX);
         try {
-            closeAppendChannel(name);
-            try (FileChannel channel = FileChannel.open(
-                    temporary,
-                    StandardOpenOption.CREATE,
-                    StandardOpenOption.TRUNCATE_EXISTING,
-                    StandardOpenOption.WRITE)) {
-                writeAll(channel, content);
-                channel.force(true);
+            closeFile(name);
+            try (RandomAccessFile written = new RandomAccessFile(temporary.toFile(), "rw")) {
+                written.setLength(0);
+                written.write(content);
+                written.getFD().sync();
             }
             Files.move(temporary, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
             syncFolder();
@@ -96,9 +94,10 @@
     @Override
     public void append(String name, byte[] content) {
         try {
-            FileChannel channel = appendChannel(name);
-            writeAll(channel, content);
-            channel.force(true);
+            RandomAccessFile file = openFile(name);
+            file.seek(file.length());
+            file.write(content);
+            file.getFD().sync();
         } catch (IOException e) {
             throw new StorageException("the file " + folder.resolve(name) + " cannot be appended to: " + e, e);
         }
@@ -107,14 +106,25 @@
     @Override
     public void truncate(String name, long lengthBytes) {
         try {
-            FileChannel channel = appendChannel(name);
-            channel.truncate(lengthBytes);
-            channel.force(true);
+            RandomAccessFile file = openFile(name);
+            file.setLength(lengthBytes);
+            file.getFD().sync();
         } catch (IOException e) {
             throw new StorageException("the file " + folder.resolve(name) + " cannot be truncated: " + e, e);
         }
     }
 
+    @Override
+    public void remove(String name) {
+        try {
+            closeFile(name);
+            Files.deleteIfExists(folder.resolve(name));
+            syncFolder();
+        } catch (IOException e) {
+            throw new StorageException("the file " + folder.resolve(name) + " cannot be removed: " + e, e);
+        }
+    }
+
     @Override
     public String location() {
         return folder.toString();
@@ -123,39 +133,32 @@
     @Override
     public void close() {
         try {
-            for (FileChannel channel : appendChannels.values()) {
-                channel.close();
+            for (RandomAccessFile file : openFiles.values()) {
+                file.close();
             }
-            appendChannels.clear();
+            openFiles.clear();
             lockChannel.close();
         } catch (IOException e) {
             throw new StorageException("the data folder " + folder + " cannot be closed: " + e, e);
         }
     }
 
-    private FileChannel appendChannel(String name) throws IOException {
-        FileChannel open = appendChannels.get(name);
+    private RandomAccessFile openFile(String name) throws IOException {
+        RandomAccessFile open = openFiles.get(name);
         if (open == null) {
-            open = FileChannel.open(folder.resolve(name), StandardOpenOption.WRITE, StandardOpenOption.APPEND);
-            appendChannels.put(name, open);
+            open = new RandomAccessFile(folder.resolve(name).toFile(), "rw");
+            openFiles.put(name, open);
         }
         return open;
     }
 
-    private void closeAppendChannel(String name) throws IOException {
-        FileChannel open = appendChannels.remove(name);
+    private void closeFile(String name) throws IOException {
+        RandomAccessFile open = openFiles.remove(name);
         if (open != null) {
             open.close();
         }
     }
 
-    private static void writeAll(FileChannel channel, byte[] content) throws IOException {
-        ByteBuffer buffer = ByteBuffer.wrap(content);
-        while (buffer.hasRemaining()) {
-            channel.write(buffer);
-        }
-    }
-
     private void syncFolder() throws IOException {
         try (FileChannel channel = FileChannel.open(folder, StandardOpenOption.READ)) {
             channel.force(true);
--- a/sequoianotch-control/src/main/java/org/sequoianotch/control/log/MemberStore.java
+++ b/sequoianotch-control/src/main/java/org/sequoianotch/control/log/MemberStore.java
@@ -52,6 +52,16 @@
         return store;
     }
 
+    /**
+     * Empties a folder whose content is damaged, so that the host can join as a new member.
+     *
+     * @param folder the folder; not null
+     */
+    public static void discard(StorageFolder folder) {
+        // The identity goes first: without it nothing of the rest is taken for that of a member.
+        List.of(MEMBER_FILE, VOTE_FILE, LOG_FILE, SNAPSHOT_FILE).forEach(folder::remove);
+    }
+
     private void readSnapshot() {
         Optional<byte[]> content = folder.read(SNAPSHOT_FILE);
         if (content.isPresent()) {
@@ -77,6 +87,9 @@
                     "[control] The file {} ends with an incomplete record at offset {}; the record is removed.",
                     path(LOG_FILE),
                     scan.completeBytes());
+        }
+        if (content.length > 0) {
+            // A process that was killed before its sync leaves records that are readable but not durable yet.
             folder.truncate(LOG_FILE, scan.completeBytes());
         }
         logBytes = scan.completeBytes();
@@ -90,7 +103,7 @@
             byte[] payload = scan.payloads().get(i);
             LogEntry entry = decode(LOG_FILE, offset, () -> LogEntry.decode(new Decoder(payload)));
             if (entry.index() != expectedIndex) {
-                throw new StorageException("the file " + path(LOG_FILE) + " is corrupt at offset " + offset
+                throw StorageException.damaged("the file " + path(LOG_FILE) + " is corrupt at offset " + offset
                         + ": it has entry " + entry.index() + " where entry " + expectedIndex + " belongs");
             }
             expectedIndex = entry.index() + 1;
@@ -103,12 +116,12 @@
     /** Returns the index of the entry that the log follows; the snapshot must reach it. */
     private long readBase(RecordFrame.Scan scan) {
         if (scan.payloads().isEmpty()) {
-            throw new StorageException(
+            throw StorageException.damaged(
                     "the file " + path(LOG_FILE) + " is corrupt at offset 0: its head is incomplete");
         }
         long baseIndex = decode(LOG_FILE, 0, () -> new Decoder(scan.payloads().get(0)).number());
         if (baseIndex > snapshot.lastIndex()) {
-            throw new StorageException("the file " + path(LOG_FILE) + " follows entry " + baseIndex
+            throw StorageException.damaged("the file " + path(LOG_FILE) + " follows entry " + baseIndex
                     + ", but the snapshot ends with entry " + snapshot.lastIndex());
         }
         return baseIndex;
@@ -135,15 +148,18 @@
             memberId = decode(MEMBER_FILE, 0, decoder::text);
             for (String name : List.of(VOTE_FILE, LOG_FILE)) {
                 if (folder.read(name).isEmpty()) {
-                    throw new StorageException("the file " + path(name) + " is missing, but the folder has the identity"
-                            + " of member " + memberId + "; empty the folder to join as a new member");
+                    throw StorageException.damaged(
+                            "the file " + path(name) + " is missing, but the folder has the identity" + " of member "
+                                    + memberId + "; empty the folder to join as a new member");
                 }
             }
+            // Renames of a process that was killed are visible but not durable yet; this syncs the folder.
+            saveVote(term, votedFor);
             return;
         }
         if (term > 0 || lastIndex() > 0) {
-            throw new StorageException("the file " + path(MEMBER_FILE) + " is missing, but the folder has a vote or a"
-                    + " log; empty the folder to join as a new member");
+            throw StorageException.damaged("the file " + path(MEMBER_FILE)
+                    + " is missing, but the folder has a vote or a" + " log; empty the folder to join as a new member");
         }
         // The identity is written last: a folder that has it is complete.
         saveVote(0, "");
@@ -318,7 +334,7 @@
         try {
             return reading.read();
         } catch (IllegalArgumentException e) {
-            throw new StorageException(
+            throw StorageException.damaged(
                     "the file " + path(name) + " is corrupt at offset " + offset + ": " + e.getMessage(), e);
         }
     }
--- a/sequoianotch-control/src/main/java/org/sequoianotch/control/log/StorageException.java
+++ b/sequoianotch-control/src/main/java/org/sequoianotch/control/log/StorageException.java
@@ -1,11 +1,15 @@
 package org.sequoianotch.control.log;
 
+import org.jspecify.annotations.Nullable;
+
 /**
  * The data folder cannot be used: a file is corrupt, locked, or could not be written or synced.
  *
  * <p>A member that meets it stops answering, because after a failed sync the content of the disk is unknown.
  */
 public final class StorageException extends RuntimeException {
+    private final boolean damage;
+
     /**
      * Creates an exception.
      *
@@ -13,6 +17,7 @@
      */
     public StorageException(String message) {
         super(message);
+        damage = false;
     }
 
     /**
@@ -23,5 +28,28 @@
      */
     public StorageException(String message, Throwable cause) {
         super(message, cause);
+        damage = false;
+    }
+
+    private StorageException(String message, @Nullable Throwable cause, boolean damage) {
+        super(message, cause);
+        this.damage = damage;
+    }
+
+    static StorageException damaged(String message) {
+        return new StorageException(message, null, true);
+    }
+
+    static StorageException damaged(String message, Throwable cause) {
+        return new StorageException(message, cause, true);
+    }
+
+    /**
+     * Tells whether the content of the folder is corrupt or incomplete, so that opening it again cannot help.
+     *
+     * @return true if it is; false if a read, a write or a sync failed
+     */
+    public boolean isDamage() {
+        return damage;
     }
 }
--- a/sequoianotch-control/src/main/java/org/sequoianotch/control/log/StorageFolder.java
+++ b/sequoianotch-control/src/main/java/org/sequoianotch/control/log/StorageFolder.java
@@ -41,6 +41,13 @@
      */
     void truncate(String name, long lengthBytes);
 
+    /**
+     * Removes a file, and makes that durable; a file that is not there is no error.
+     *
+     * @param name the name; not null
+     */
+    void remove(String name);
+
     /**
      * Returns where the folder is, for messages.
      *
--- a/sequoianotch-control/src/main/java/org/sequoianotch/control/state/ChangeRequest.java
+++ b/sequoianotch-control/src/main/java/org/sequoianotch/control/state/ChangeRequest.java
@@ -19,9 +19,15 @@
  * @param organisation the organisation; not null
  * @param templateText the whole template as INI text; not null
  * @param expectedRevision the revision that the operator read; not negative
+ * @param newRevision the revision that the change makes; above expectedRevision
  */
 public record ChangeRequest(
-        String changeId, String operator, OrganisationName organisation, String templateText, long expectedRevision) {
+        String changeId,
+        String operator,
+        OrganisationName organisation,
+        String templateText,
+        long expectedRevision,
+        long newRevision) {
     private static final int MAX_NAME_LENGTH = 128;
 
     /** Checks the components. */
@@ -34,6 +40,28 @@
             throw new IllegalArgumentException(
                     "expectedRevision is " + expectedRevision + ", but must not be negative");
         }
+        if (newRevision <= expectedRevision) {
+            throw new IllegalArgumentException(
+                    "newRevision is " + newRevision + ", but must be above the expected revision " + expectedRevision);
+        }
+    }
+
+    /**
+     * Creates a change that raises the revision by one.
+     *
+     * @param changeId identifies the change, 1 to 128 characters; not null
+     * @param operator who makes the change, 1 to 128 characters; not null
+     * @param organisation the organisation; not null
+     * @param templateText the whole template as INI text; not null
+     * @param expectedRevision the revision that the operator read; not negative
+     */
+    public ChangeRequest(
+            String changeId,
+            String operator,
+            OrganisationName organisation,
+            String templateText,
+            long expectedRevision) {
+        this(changeId, operator, organisation, templateText, expectedRevision, expectedRevision + 1);
     }
 
     private static void checkName(String what, String value) {
@@ -48,7 +76,7 @@
      * @return SHA-256 in hexadecimal, never null
      */
     public String fingerprint() {
-        return sha256(organisation.name() + '\n' + expectedRevision + '\n' + templateText);
+        return sha256(organisation.name() + '\n' + expectedRevision + '\n' + newRevision + '\n' + templateText);
     }
 
     static String sha256(String text) {
@@ -69,8 +97,9 @@
         encoder.text(changeId)
                 .text(operator)
                 .text(organisation.name())
-                .text(templateText)
-                .number(expectedRevision);
+                .packedText(templateText)
+                .number(expectedRevision)
+                .number(newRevision);
     }
 
     /**
@@ -82,6 +111,11 @@
      */
     public static ChangeRequest decode(Decoder decoder) {
         return new ChangeRequest(
-                decoder.text(), decoder.text(), OrganisationName.of(decoder.text()), decoder.text(), decoder.number());
+                decoder.text(),
+                decoder.text(),
+                OrganisationName.of(decoder.text()),
+                decoder.packedText(),
+                decoder.number(),
+                decoder.number());
     }
 }
--- a/sequoianotch-control/src/main/java/org/sequoianotch/control/state/TemplateState.java
+++ b/sequoianotch-control/src/main/java/org/sequoianotch/control/state/TemplateState.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.SortedMap;
 import java.util.TreeMap;
@@ -27,7 +28,7 @@
     /** Largest size of all template texts together; one answer with all of them fits into a frame of 256 KiB. */
     static final int MAX_TEXT_BYTES = 192 * 1024;
 
-    private static final int FORMAT_VERSION = 1;
+    private static final int FORMAT_VERSION = 2;
     private static final int MAX_HISTORY = 12_000;
     private static final int MAX_AUDIT_RECORDS = 12_000;
     /** Texts of the newest audit records are kept up to this size, about a day of changes of 4 KiB. */
@@ -38,14 +39,26 @@
 
     private record Remembered(String fingerprint, byte[] result) {}
 
+    private final ConfigurationCheck check;
     private long revision;
     private final SortedMap<OrganisationName, String> texts = new TreeMap<>();
     private final LinkedHashMap<String, Remembered> history = new LinkedHashMap<>();
     private final ArrayDeque<AuditRecord> audit = new ArrayDeque<>();
     private long auditTextChars;
 
-    /** Creates the state before the first change. */
-    public TemplateState() {}
+    /** Creates an empty state that checks protection templates. */
+    public TemplateState() {
+        this(ConfigurationCheck.TEMPLATES);
+    }
+
+    /**
+     * Creates an empty state.
+     *
+     * @param check decides which texts are accepted; not null
+     */
+    public TemplateState(ConfigurationCheck check) {
+        this.check = Objects.requireNonNull(check, "check");
+    }
 
     /**
      * Encodes a change for the log.
@@ -73,7 +86,7 @@
         }
         // A change for another revision is refused as stale, so that its answer does not depend on when it is checked.
         boolean current = request.expectedRevision() == revision;
-        List<String> problems = TemplateCheck.problems(request, current ? texts : Map.of());
+        List<String> problems = check.problems(request, current ? texts : Map.of());
         if (problems.isEmpty()) {
             return Optional.empty();
         }
@@ -121,11 +134,11 @@
                 request.operator(),
                 atMs,
                 revision,
-                revision + 1,
+                request.newRevision(),
                 request.organisation(),
                 ChangeRequest.sha256(request.templateText()),
                 request.templateText()));
-        revision++;
+        revision = request.newRevision();
         texts.put(request.organisation(), request.templateText());
         return new Accepted(revision);
     }
--- /dev/null
+++ b/sequoianotch-control/src/test/java/org/sequoianotch/control/log/DiskFolderTest.java
@@ -0,0 +1,36 @@
+package org.sequoianotch.control.log;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Guards against a data folder that stops working for a reason that is not the disk's. */
+final class DiskFolderTest {
+    /** A peer task that was interrupted while it stored a vote closed the log's channel, and the member withdrew. */
+    @Test
+    void writesOfAnInterruptedThreadSucceed(@TempDir Path path) {
+        try (DiskFolder folder = DiskFolder.open(path)) {
+            folder.replace("log", new byte[] {1});
+            Thread.currentThread().interrupt();
+            folder.append("log", new byte[] {2, 3});
+            folder.truncate("log", 2);
+            assertThat(Thread.interrupted()).isTrue();
+            folder.append("log", new byte[] {4});
+
+            assertThat(folder.read("log").orElseThrow()).isEqualTo(new byte[] {1, 2, 4});
+        }
+    }
+
+    @Test
+    void removedFileIsGoneAndMayBeRemovedAgain(@TempDir Path path) {
+        try (DiskFolder folder = DiskFolder.open(path)) {
+            folder.replace("vote", new byte[] {1});
+            folder.remove("vote");
+            folder.remove("vote");
+
+            assertThat(folder.read("vote")).isEmpty();
+        }
+    }
+}
--- a/sequoianotch-control/src/test/java/org/sequoianotch/control/log/MemoryFolder.java
+++ b/sequoianotch-control/src/test/java/org/sequoianotch/control/log/MemoryFolder.java
@@ -84,6 +84,11 @@
         return writesUntilPowerLoss < 0;
     }
 
+    @Override
+    public void remove(String name) {
+        files.remove(name);
+    }
+
     @Override
     public String location() {
         return "memory";
--- a/sequoianotch-core/src/main/java/org/sequoianotch/error/ErrorKind.java
+++ b/sequoianotch-core/src/main/java/org/sequoianotch/error/ErrorKind.java
@@ -27,6 +27,12 @@
             503, Outcome.UNKNOWN, 2_000, "The ledger that knows whether this idempotency key ran is out of reach."),
     /** The request was shed. */
     OVERLOADED(503, Outcome.NOT_RUN, 1_000, "The service is overloaded and more important requests go first."),
+    /** The instance received the request and rejected it without running it. */
+    INSTANCE_REFUSED(503, Outcome.NOT_RUN, 1_000, "The instance rejected the request without running it."),
+    /** This node knows no configuration yet. */
+    NOT_CONFIGURED(503, Outcome.NOT_RUN, 500, "This node has not received the configuration yet."),
+    /** The request's body is larger than the configuration allows. */
+    BODY_TOO_LARGE(413, Outcome.NOT_RUN, 0, "The request body is larger than allowed."),
     /** The node or the instance is leaving. */
     DRAINING(503, Outcome.NOT_RUN, 1_000, "The instance is leaving and takes no new requests."),
     /** No serving instance is in reach. */
--- a/sequoianotch-core/src/main/java/org/sequoianotch/settings/ValueKind.java
+++ b/sequoianotch-core/src/main/java/org/sequoianotch/settings/ValueKind.java
@@ -11,70 +11,70 @@
     /** A whole number within a range. */
     INTEGER("a whole number") {
         @Override
-        boolean accepts(String text, long min, long max) {
+        public boolean accepts(String text, long min, long max) {
             return withinRange(text, min, max);
         }
     },
     /** A duration in milliseconds, written as a bare number. */
     DURATION_MS("a whole number of milliseconds") {
         @Override
-        boolean accepts(String text, long min, long max) {
+        public boolean accepts(String text, long min, long max) {
             return withinRange(text, min, max);
         }
     },
     /** A size in bytes, written as a bare number. */
     SIZE_BYTES("a whole number of bytes") {
         @Override
-        boolean accepts(String text, long min, long max) {
+        public boolean accepts(String text, long min, long max) {
             return withinRange(text, min, max);
         }
     },
     /** {@code true} or {@code false}. */
     BOOLEAN("true or false") {
         @Override
-        boolean accepts(String text, long min, long max) {
+        public boolean accepts(String text, long min, long max) {
             return text.equals("true") || text.equals("false");
         }
     },
     /** A name of lower-case letters, digits and hyphens. */
     NAME("1 to 63 lower-case letters, digits and hyphens") {
         @Override
-        boolean accepts(String text, long min, long max) {
+        public boolean accepts(String text, long min, long max) {
             return text.matches("[a-z0-9][a-z0-9-]{0,62}");
         }
     },
     /** Names separated by commas. */
     NAME_LIST("names of lower-case letters, digits and hyphens, separated by commas") {
         @Override
-        boolean accepts(String text, long min, long max) {
+        public boolean accepts(String text, long min, long max) {
             return items(text).stream().allMatch(item -> NAME.accepts(item, min, max));
         }
     },
     /** An IP number and a port. */
     ADDRESS("an IP number and a port, such as 127.0.0.1:8080") {
         @Override
-        boolean accepts(String text, long min, long max) {
+        public boolean accepts(String text, long min, long max) {
             return parseAddress(text).isPresent();
         }
     },
     /** Addresses separated by commas. */
     ADDRESS_LIST("addresses such as 127.0.0.1:8082, separated by commas") {
         @Override
-        boolean accepts(String text, long min, long max) {
+        public boolean accepts(String text, long min, long max) {
             return items(text).stream().allMatch(item -> parseAddress(item).isPresent());
         }
     },
     /** Pairs of a name and an address separated by commas, such as {@code rennes-1=127.0.0.1:8082}. */
     NAMED_ADDRESS_LIST("pairs such as rennes-1=127.0.0.1:8082, separated by commas") {
         @Override
-        boolean accepts(String text, long min, long max) {
+        public boolean accepts(String text, long min, long max) {
             return items(text).stream().allMatch(ValueKind::isNamedAddress);
         }
     },
     /** Free text whose length lies within the range. */
     TEXT("text") {
         @Override
-        boolean accepts(String text, long min, long max) {
+        public boolean accepts(String text, long min, long max) {
             return text.length() >= min && text.length() <= max;
         }
     };
@@ -87,7 +87,15 @@
         this.description = description;
     }
 
-    abstract boolean accepts(String text, long min, long max);
+    /**
+     * Tells whether a text is a value of this kind.
+     *
+     * @param text the text; not null
+     * @param min least value, for kinds with a range
+     * @param max greatest value, for kinds with a range
+     * @return true if it is
+     */
+    public abstract boolean accepts(String text, long min, long max);
 
     /**
      * Returns what values of this kind look like.
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/Logging.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/Logging.java
@@ -12,26 +12,61 @@
 import org.sequoianotch.settings.NodeSettings;
 
 /** Sets up Log4j from the settings. This class is stateless. */
-final class Logging {
+public final class Logging {
     private static final String TEXT_PATTERN = "%d{yyyy-MM-dd'T'HH:mm:ss.SSSXXX} %-5p %m%n%xEx";
+    /** Lines that wait to be written; further ones are dropped rather than hold up a request. */
+    private static final int ASYNC_BUFFER_LINES = 2_048;
 
     private Logging() {}
 
     static void configure(NodeSettings settings) {
-        ConfigurationBuilder<BuiltConfiguration> builder = ConfigurationBuilderFactory.newConfigurationBuilder();
-        builder.setShutdownHook("disable");
+        ConfigurationBuilder<BuiltConfiguration> builder = newBuilder();
         LayoutComponentBuilder layout = settings.text(NodeSetting.LOG_LAYOUT).equals("json")
                 ? builder.newLayout("JsonTemplateLayout").addAttribute("eventTemplateUri", "classpath:EcsLayout.json")
-                : builder.newLayout("PatternLayout").addAttribute("pattern", TEXT_PATTERN);
-        AppenderComponentBuilder console = builder.newAppender("console", "Console")
-                .addAttribute("target", ConsoleAppender.Target.SYSTEM_ERR)
+                : textLayout(builder);
+        builder.add(console(builder, ConsoleAppender.Target.SYSTEM_ERR, layout));
+        apply(builder, "console", Level.valueOf(settings.text(NodeSetting.LOG_LEVEL)));
+    }
+
+    /**
+     * Writes text lines to standard output without ever blocking the thread that logs.
+     *
+     * @param levelName lowest level that is written, such as {@code info}; not null
+     */
+    public static void configureNonBlocking(String levelName) {
+        ConfigurationBuilder<BuiltConfiguration> builder = newBuilder();
+        builder.add(console(builder, ConsoleAppender.Target.SYSTEM_OUT, textLayout(builder)));
+        builder.add(builder.newAppender("async", "Async")
+                .addAttribute("blocking", false)
+                .addAttribute("bufferSize", ASYNC_BUFFER_LINES)
+                .addComponent(builder.newAppenderRef("console")));
+        apply(builder, "async", Level.valueOf(levelName));
+    }
+
+    private static ConfigurationBuilder<BuiltConfiguration> newBuilder() {
+        ConfigurationBuilder<BuiltConfiguration> builder = ConfigurationBuilderFactory.newConfigurationBuilder();
+        builder.setShutdownHook("disable");
+        return builder;
+    }
+
+    private static LayoutComponentBuilder textLayout(ConfigurationBuilder<BuiltConfiguration> builder) {
+        return builder.newLayout("PatternLayout").addAttribute("pattern", TEXT_PATTERN);
+    }
+
+    private static AppenderComponentBuilder console(
+            ConfigurationBuilder<BuiltConfiguration> builder,
+            ConsoleAppender.Target target,
+            LayoutComponentBuilder layout) {
+        return builder.newAppender("console", "Console")
+                .addAttribute("target", target)
                 .add(layout);
-        builder.add(console);
-        Level level = Level.valueOf(settings.text(NodeSetting.LOG_LEVEL));
-        builder.add(builder.newRootLogger(Level.WARN).add(builder.newAppenderRef("console")));
+    }
+
+    private static void apply(ConfigurationBuilder<BuiltConfiguration> builder, String appender, Level level) {
+        builder.add(builder.newRootLogger(Level.WARN).add(builder.newAppenderRef(appender)));
         builder.add(builder.newLogger("org.sequoianotch", level)
                 .addAttribute("additivity", false)
-                .add(builder.newAppenderRef("console")));
+                .add(builder.newAppenderRef(appender)));
         Configurator.reconfigure(builder.build());
     }
 }
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/Node.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/Node.java
@@ -13,6 +13,7 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.sequoianotch.daemon.admin.TemplateChanges;
+import org.sequoianotch.daemon.call.BackendOptions;
 import org.sequoianotch.daemon.call.CallPath;
 import org.sequoianotch.daemon.call.HostPlace;
 import org.sequoianotch.daemon.call.LocalInstances;
@@ -24,6 +25,7 @@
 import org.sequoianotch.error.Failure;
 import org.sequoianotch.membership.Membership;
 import org.sequoianotch.membership.NettyDatagramTransport;
+import org.sequoianotch.model.ServiceName;
 import org.sequoianotch.policy.PolicyMode;
 import org.sequoianotch.protocol.Topic;
 import org.sequoianotch.protocol.link.LinkCounters;
@@ -33,6 +35,8 @@
 import org.sequoianotch.protocol.link.Transport;
 import org.sequoianotch.settings.NodeSetting;
 import org.sequoianotch.settings.NodeSettings;
+import org.sequoianotch.template.ServiceRule;
+import org.sequoianotch.template.TemplateSet;
 import org.sequoianotch.time.Clock;
 import org.sequoianotch.time.SystemClock;
 
@@ -88,7 +92,8 @@
                 mode,
                 clock,
                 transport.eventLoops(),
-                templates::current);
+                service -> limitsOf(templates.current(), service),
+                BackendOptions.STRICT);
         instances.setOnChange(membership::announce);
         templates.addListener(instances::applyTemplates);
         control = ControlParts.create(settings, place, links, clock, membership, templates);
@@ -124,6 +129,13 @@
                 membership, links, peerListener, callPath, linkCounters, ledger.counters(), templateChanges());
     }
 
+    private static ServiceRule limitsOf(TemplateSet templates, ServiceName service) {
+        return templates
+                .templateOf(service)
+                .flatMap(template -> template.service(service))
+                .orElseGet(() -> ServiceRule.ofDefaults(service));
+    }
+
     private TemplateChanges templateChanges() {
         return control.<TemplateChanges>map(parts ->
                         new GroupTemplateChanges(parts.client(), parts.group().orElse(null)))
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/burn/Verdict.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/burn/Verdict.java
@@ -42,16 +42,17 @@
 
     private static Optional<Verdict> ofError(ErrorKind kind, boolean late) {
         return switch (kind) {
-            case OVERLOADED, RETRIES_EXHAUSTED -> Optional.of(SHED);
+            case OVERLOADED, INSTANCE_REFUSED, RETRIES_EXHAUSTED -> Optional.of(SHED);
             case DEADLINE_BEFORE_RUN -> Optional.of(LATE);
-            case NO_INSTANCE, DRAINING, INTERNAL -> Optional.of(FAILED);
+            case NO_INSTANCE, DRAINING, NOT_CONFIGURED, INTERNAL -> Optional.of(FAILED);
             case KEY_IN_PROGRESS,
                     KEY_IN_DOUBT,
                     LEDGER_UNREACHABLE,
                     DEADLINE_IN_DOUBT,
                     CONNECTION_LOST,
                     BACKEND_CUT_ANSWER -> Optional.of(UNKNOWN);
-            case BAD_REQUEST, UNKNOWN_SERVICE, KEY_REQUIRED, KEY_REUSED, BODY_INCOMPLETE -> Optional.empty();
+            case BAD_REQUEST, UNKNOWN_SERVICE, KEY_REQUIRED, KEY_REUSED, BODY_INCOMPLETE, BODY_TOO_LARGE -> Optional
+                    .empty();
                 // A caller that waited longer than the objective allows probably left because of that.
             case CALLER_GONE -> late ? Optional.of(LATE) : Optional.empty();
         };
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/AttemptRunner.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/AttemptRunner.java
@@ -157,7 +157,7 @@
             return AttemptResult.CANCELLED;
         }
         return switch (answer.getLeft().kind()) {
-            case OVERLOADED, DRAINING, DEADLINE_BEFORE_RUN -> AttemptResult.REFUSED;
+            case OVERLOADED, INSTANCE_REFUSED, DRAINING, DEADLINE_BEFORE_RUN -> AttemptResult.REFUSED;
             case DEADLINE_IN_DOUBT -> AttemptResult.TIMED_OUT;
             case BODY_INCOMPLETE, CALLER_GONE -> AttemptResult.CANCELLED;
             default -> AttemptResult.UNREACHABLE;
--- /dev/null
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/BackendAnswer.java
@@ -0,0 +1,15 @@
+package org.sequoianotch.daemon.call;
+
+/**
+ * What the head of a backend server's answer says beside the answer itself.
+ *
+ * <p>This type is immutable.
+ *
+ * @param belongsToCall false if it answers another request that was sent on this connection before
+ * @param notExecuted true if the backend server states that it did not run the request
+ * @param maxIdleMs how long the connection may be kept without a request, in milliseconds; zero if it is not said
+ */
+public record BackendAnswer(boolean belongsToCall, boolean notExecuted, long maxIdleMs) {
+    /** An ordinary answer that says nothing more. */
+    public static final BackendAnswer PLAIN = new BackendAnswer(true, false, 0);
+}
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/CallPath.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/CallPath.java
@@ -6,6 +6,7 @@
 import java.util.random.RandomGenerator;
 import org.sequoianotch.daemon.explain.Journal;
 import org.sequoianotch.daemon.http.HttpHandler;
+import org.sequoianotch.daemon.http.Problem;
 import org.sequoianotch.daemon.ledger.Ledger;
 import org.sequoianotch.model.DataCentre;
 import org.sequoianotch.protocol.link.CallHandler;
@@ -46,10 +47,12 @@
         this.instances = instances;
         Clock clock = surroundings.clock();
         Journal journal = surroundings.journal();
-        server = new InstanceServer(instances, contexts, journal, clock, surroundings.timer(), surroundings.random());
+        server = new InstanceServer(
+                instances, contexts, journal, clock, surroundings.timer(), new TraceDialect(surroundings.random()));
         AttemptRunner attempts = new AttemptRunner(surroundings.place(), network, server, policies, journal, clock);
         CallForwarder forwarder = new CallForwarder(directory, policies, attempts, journal, clock);
-        RequestRunner runner = new RequestRunner(forwarder, ledger, surroundings.ledgerDataCentres(), journal, clock);
+        RequestRunner runner =
+                new RequestRunner(forwarder, ledger, surroundings.ledgerDataCentres(), journal, clock, Problem::of);
         CallRules rules = new CallRules(surroundings.templates());
         callerHandler = new CallerHandler(rules, runner, surroundings);
         backendHandler = new BackendHandler(rules, runner, contexts, instances, clock);
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/InstanceServer.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/InstanceServer.java
@@ -3,11 +3,8 @@
 import io.netty.util.Timeout;
 import io.netty.util.Timer;
 import io.vavr.control.Either;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
-import java.util.random.RandomGenerator;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.sequoianotch.daemon.explain.EventKind;
@@ -25,7 +22,6 @@
 import org.sequoianotch.protocol.AnswerHeader;
 import org.sequoianotch.protocol.AnswerTrailer;
 import org.sequoianotch.protocol.CallHeader;
-import org.sequoianotch.protocol.HeaderField;
 import org.sequoianotch.protocol.link.CallHandler;
 import org.sequoianotch.protocol.link.IncomingCall;
 import org.sequoianotch.time.Clock;
@@ -42,13 +38,15 @@
 
     private static final int SERVICE_UNAVAILABLE = 503;
     private static final int SERVER_ERROR = 500;
+    /** A backend server that answers early may stop reading; this bounds how late the answer is noticed. */
+    private static final long ROOM_CHECK_MS = 20;
 
     private final LocalInstances instances;
     private final ContextRegistry contexts;
     private final Journal journal;
     private final Clock clock;
     private final Timer timer;
-    private final RandomGenerator random;
+    private final BackendDialect dialect;
 
     /**
      * Creates a server.
@@ -58,7 +56,7 @@
      * @param journal takes down what happened; not null
      * @param clock the clock; not null
      * @param timer ends calls at their deadline; not null
-     * @param random source of span ids; not null
+     * @param dialect the headers that backend servers understand; not null
      */
     public InstanceServer(
             LocalInstances instances,
@@ -66,13 +64,13 @@
             Journal journal,
             Clock clock,
             Timer timer,
-            RandomGenerator random) {
+            BackendDialect dialect) {
         this.instances = instances;
         this.contexts = contexts;
         this.journal = journal;
         this.clock = clock;
         this.timer = timer;
-        this.random = random;
+        this.dialect = dialect;
     }
 
     @Override
@@ -109,7 +107,7 @@
             refuse(call, context, Failure.of(ErrorKind.NO_INSTANCE, detail), NO_LOAD);
             return;
         }
-        if (instances.isDraining() || !instance.state().acceptsWork()) {
+        if (instances.isDraining() || !instance.accepts(clock.monotonicMs())) {
             String detail = "The instance of " + call.header().service() + " is leaving.";
             refuse(
                     call,
@@ -154,7 +152,11 @@
             context.removeCancelAction(close);
             result = resultOf(answered, context);
             if (answered.isLeft()) {
-                connection.close();
+                if (answered.getLeft().kind() == ErrorKind.INSTANCE_REFUSED) {
+                    connection.finish();
+                } else {
+                    connection.close();
+                }
                 refuse(
                         call,
                         context,
@@ -215,7 +217,11 @@
                         "Sent to the backend server of %s after %.1f ms in the queue, with %d of %d calls in flight.",
                         header.service(), permit.waitedMs(), load.inFlight(), load.limit()));
         boolean started = connection.start(
-                header.method(), header.path(), backendHeaders(header, context), header.bodyBytes(), leftMs(context));
+                header.method(),
+                header.path(),
+                dialect.requestHeaders(header, instance.instanceId(), leftMs(context)),
+                header.bodyBytes(),
+                leftMs(context));
         if (!started) {
             return Either.left(Failure.of(
                     ErrorKind.CONNECTION_LOST, "The backend server closed the connection before the request."));
@@ -224,18 +230,49 @@
         if (sent.isLeft()) {
             return Either.left(sent.getLeft());
         }
-        Either<Failure, AnswerHeader> head = connection.awaitAnswer(leftMs(context));
-        if (head.isLeft()) {
-            return Either.left(head.getLeft());
+        return awaitOwnAnswer(call, context, instance, connection);
+    }
+
+    /** Skips answers to earlier requests that come late on the same connection. */
+    private Either<Failure, Integer> awaitOwnAnswer(
+            IncomingCall call, RequestContext context, LocalInstance instance, BackendConnection connection)
+            throws InterruptedException {
+        while (true) {
+            Either<Failure, AnswerHeader> head = connection.awaitAnswer(leftMs(context));
+            if (head.isLeft()) {
+                return Either.left(head.getLeft());
+            }
+            BackendAnswer note = dialect.read(call.header(), head.get());
+            if (note.belongsToCall() && !note.notExecuted()) {
+                if (note.maxIdleMs() > 0) {
+                    connection.limitIdleMs(note.maxIdleMs());
+                }
+                return passAnswer(call, context, instance, connection, head.get());
+            }
+            Either<Failure, Void> skipped = skipBody(connection, context);
+            if (note.belongsToCall()) {
+                String detail = "The instance rejected the call with status "
+                        + head.get().status() + " and says that it did not run it.";
+                return Either.left(Failure.of(ErrorKind.INSTANCE_REFUSED, detail));
+            }
+            LOG.warn("[call] Skipped an answer that belongs to another request than {}.", context.requestId());
+            if (skipped.isLeft()) {
+                return Either.left(skipped.getLeft());
+            }
         }
-        return passAnswer(call, context, instance, connection, head.get());
     }
 
-    private List<HeaderField> backendHeaders(CallHeader header, RequestContext context) {
-        List<HeaderField> headers = new ArrayList<>(header.headers());
-        headers.add(new HeaderField(TraceParent.HEADER, TraceParent.format(context.requestId(), random.nextLong())));
-        headers.add(new HeaderField("Sequoianotch-Timeout-Ms", Long.toString(leftMs(context))));
-        return headers;
+    private Either<Failure, Void> skipBody(BackendConnection connection, RequestContext context)
+            throws InterruptedException {
+        while (true) {
+            Either<Failure, Optional<byte[]>> part = connection.readAnswerBody(leftMs(context));
+            if (part.isLeft()) {
+                return Either.left(part.getLeft());
+            }
+            if (part.get().isEmpty()) {
+                return Either.right(null);
+            }
+        }
     }
 
     private Either<Failure, Void> sendBody(IncomingCall call, RequestContext context, BackendConnection connection)
@@ -243,13 +280,20 @@
         if (call.header().bodyBytes() == 0) {
             return Either.right(null);
         }
-        while (true) {
+        while (!connection.hasAnswer()) {
             Either<Failure, Optional<byte[]>> part = call.readBody();
             if (part.isLeft()) {
                 return Either.left(Failure.of(
                         ErrorKind.BODY_INCOMPLETE,
                         "The request body ended early: " + part.getLeft().detail()));
             }
+            if (!awaitRoom(context, connection)) {
+                return Either.left(Failure.of(
+                        ErrorKind.CONNECTION_LOST, "The backend server did not take the whole request body."));
+            }
+            if (connection.hasAnswer()) {
+                break;
+            }
             boolean passed = part.get().isPresent()
                     ? connection.write(part.get().get(), leftMs(context))
                     : connection.end(leftMs(context));
@@ -261,6 +305,21 @@
                 return Either.right(null);
             }
         }
+        // The backend server answered before it has read the whole body; the rest is not sent.
+        return Either.right(null);
+    }
+
+    /** Waits until the connection takes more bytes or an answer has arrived; false if neither comes in time. */
+    private boolean awaitRoom(RequestContext context, BackendConnection connection) throws InterruptedException {
+        while (!connection.awaitWritable(ROOM_CHECK_MS)) {
+            if (connection.hasAnswer()) {
+                return true;
+            }
+            if (context.timeLeftMs(clock) <= 0) {
+                return false;
+            }
+        }
+        return true;
     }
 
     private Either<Failure, Integer> passAnswer(
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/LocalInstance.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/LocalInstance.java
@@ -26,16 +26,45 @@
         int port,
         int slots,
         BackendState state,
+        String instanceId,
+        double acceptsUntilMs,
         double leaseUntilMs,
         long startedAtMs,
         ServiceRule rule,
         AdmissionControl admission,
         BackendClient client) {
-    LocalInstance withLease(BackendState newState, double newLeaseUntilMs) {
-        return new LocalInstance(service, port, slots, newState, newLeaseUntilMs, startedAtMs, rule, admission, client);
+    LocalInstance withLease(BackendState newState, double newAcceptsUntilMs, double newLeaseUntilMs) {
+        return new LocalInstance(
+                service,
+                port,
+                slots,
+                newState,
+                instanceId,
+                newAcceptsUntilMs,
+                newLeaseUntilMs,
+                startedAtMs,
+                rule,
+                admission,
+                client);
     }
 
     LocalInstance withAdmission(ServiceRule newRule, AdmissionControl newAdmission) {
-        return new LocalInstance(service, port, slots, state, leaseUntilMs, startedAtMs, newRule, newAdmission, client);
+        return new LocalInstance(
+                service,
+                port,
+                slots,
+                state,
+                instanceId,
+                acceptsUntilMs,
+                leaseUntilMs,
+                startedAtMs,
+                newRule,
+                newAdmission,
+                client);
+    }
+
+    /** Tells whether calls may still be sent to the instance; one that leaves takes them until all nodes know. */
+    boolean accepts(double nowMs) {
+        return state.acceptsWork() || nowMs < acceptsUntilMs;
     }
 }
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/LocalInstances.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/LocalInstances.java
@@ -9,7 +9,7 @@
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
-import java.util.function.Supplier;
+import java.util.function.Function;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.jspecify.annotations.Nullable;
@@ -20,7 +20,6 @@
 import org.sequoianotch.model.ServiceName;
 import org.sequoianotch.policy.PolicyMode;
 import org.sequoianotch.template.ServiceRule;
-import org.sequoianotch.template.TemplateSet;
 import org.sequoianotch.time.Clock;
 
 /**
@@ -38,7 +37,8 @@
     private final PolicyMode mode;
     private final Clock clock;
     private final EventLoopGroup eventLoops;
-    private final Supplier<TemplateSet> templates;
+    private final Function<ServiceName, ServiceRule> rules;
+    private final BackendOptions backend;
     private final Map<ServiceName, LocalInstance> instances = new ConcurrentHashMap<>();
     private volatile Consumer<List<Instance>> onChange = changed -> {};
     private volatile boolean draining;
@@ -52,7 +52,8 @@
      * @param mode protective or naive decisions; not null
      * @param clock the clock; not null
      * @param eventLoops event loops that carry the connections to the backend server; not null
-     * @param templates the templates in force; not null
+     * @param rules limits of each service, asked at each use; not null
+     * @param backend how backend servers are spoken to; not null
      */
     public LocalInstances(
             HostPlace place,
@@ -61,14 +62,16 @@
             PolicyMode mode,
             Clock clock,
             EventLoopGroup eventLoops,
-            Supplier<TemplateSet> templates) {
+            Function<ServiceName, ServiceRule> rules,
+            BackendOptions backend) {
         this.place = place;
         this.backendAddress = backendAddress;
         this.leaseMs = leaseMs;
         this.mode = mode;
         this.clock = clock;
         this.eventLoops = eventLoops;
-        this.templates = templates;
+        this.rules = rules;
+        this.backend = backend;
     }
 
     /**
@@ -89,8 +92,10 @@
     public synchronized long announce(Announcement announcement) {
         LocalInstance known = instances.get(announcement.service());
         double leaseUntilMs = clock.monotonicMs() + leaseMs;
-        if (known != null && known.port() == announcement.port() && known.slots() == announcement.slots()) {
-            instances.put(announcement.service(), known.withLease(announcement.state(), leaseUntilMs));
+        if (known != null && isSame(known, announcement)) {
+            instances.put(
+                    announcement.service(),
+                    known.withLease(announcement.state(), acceptsUntilMs(known, announcement.state()), leaseUntilMs));
             if (known.state() != announcement.state()) {
                 LOG.info(
                         "[node] Instance of {} is {}.",
@@ -109,15 +114,61 @@
         return leaseMs;
     }
 
+    private static boolean isSame(LocalInstance known, Announcement announcement) {
+        return known.port() == announcement.port()
+                && known.slots() == announcement.slots()
+                && known.instanceId().equals(announcement.instanceId());
+    }
+
+    /** The time counts from the first announcement that the instance leaves. */
+    private double acceptsUntilMs(LocalInstance known, BackendState newState) {
+        boolean leavesNow = known.state().acceptsWork() && !newState.acceptsWork();
+        return leavesNow ? clock.monotonicMs() + backend.drainNoticeMs() : known.acceptsUntilMs();
+    }
+
+    /**
+     * Takes in that an instance leaves without further announcements. Calls are accepted until all nodes know of it.
+     *
+     * @param service the service; not null
+     * @param instanceId the instance; not null
+     */
+    public synchronized void withdraw(ServiceName service, String instanceId) {
+        LocalInstance known = instances.get(service);
+        if (known != null && known.instanceId().equals(instanceId)) {
+            instances.put(
+                    service,
+                    known.withLease(
+                            BackendState.DRAINING,
+                            acceptsUntilMs(known, BackendState.DRAINING),
+                            clock.monotonicMs() + leaseMs));
+            LOG.info("[node] Instance {} of {} withdrew.", instanceId, service);
+            tellChange();
+        }
+    }
+
+    /** Forgets an instance that was replaced by another process; open calls of it end by themselves. */
+    synchronized void remove(ServiceName service) {
+        LocalInstance known = instances.remove(service);
+        if (known != null) {
+            known.client().close();
+        }
+    }
+
     private LocalInstance create(Announcement announcement, double leaseUntilMs) {
         BackendClient client = new BackendClient(
-                new InetSocketAddress(backendAddress, announcement.port()), eventLoops, CONNECT_TIMEOUT_MS, clock);
-        ServiceRule rule = ruleOf(announcement.service());
+                new InetSocketAddress(backendAddress, announcement.port()),
+                eventLoops,
+                CONNECT_TIMEOUT_MS,
+                backend.acceptsUnmarkedEnd(),
+                clock);
+        ServiceRule rule = rules.apply(announcement.service());
         return new LocalInstance(
                 announcement.service(),
                 announcement.port(),
                 announcement.slots(),
                 announcement.state(),
+                announcement.instanceId(),
+                clock.monotonicMs(),
                 leaseUntilMs,
                 clock.nowMs(),
                 rule,
@@ -125,21 +176,13 @@
                 client);
     }
 
-    private ServiceRule ruleOf(ServiceName service) {
-        return templates
-                .get()
-                .templateOf(service)
-                .flatMap(template -> template.service(service))
-                .orElseGet(() -> ServiceRule.ofDefaults(service));
-    }
-
     /**
      * Takes over the limits of the templates in force. An instance whose limits are the same keeps what its admission
      * has measured.
      */
     public synchronized void applyTemplates() {
         instances.replaceAll((service, known) -> {
-            ServiceRule rule = ruleOf(service);
+            ServiceRule rule = rules.apply(service);
             return rule.equals(known.rule())
                     ? known
                     : known.withAdmission(rule, mode.newAdmission(rule, known.slots(), clock));
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/RequestRunner.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/RequestRunner.java
@@ -4,12 +4,12 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Function;
 import org.jspecify.annotations.Nullable;
 import org.sequoianotch.daemon.explain.EventKind;
 import org.sequoianotch.daemon.explain.Journal;
 import org.sequoianotch.daemon.http.HeaderFields;
 import org.sequoianotch.daemon.http.HttpExchange;
-import org.sequoianotch.daemon.http.Problem;
 import org.sequoianotch.daemon.http.WholeResponse;
 import org.sequoianotch.daemon.ledger.Claim;
 import org.sequoianotch.daemon.ledger.ClaimResult;
@@ -40,13 +40,21 @@
     private final List<DataCentre> dataCentres;
     private final Journal journal;
     private final Clock clock;
+    private final Function<Failure, WholeResponse> refusals;
 
-    RequestRunner(CallForwarder forwarder, Ledger ledger, List<DataCentre> dataCentres, Journal journal, Clock clock) {
+    RequestRunner(
+            CallForwarder forwarder,
+            Ledger ledger,
+            List<DataCentre> dataCentres,
+            Journal journal,
+            Clock clock,
+            Function<Failure, WholeResponse> refusals) {
         this.forwarder = forwarder;
         this.ledger = ledger;
         this.dataCentres = List.copyOf(dataCentres);
         this.journal = journal;
         this.clock = clock;
+        this.refusals = refusals;
     }
 
     /** Runs the request and responds; the result says what the caller was told. */
@@ -231,7 +239,7 @@
         if (failure.kind() == ErrorKind.CALLER_GONE) {
             exchange.abort();
         } else {
-            exchange.respond(Problem.of(failure)
+            exchange.respond(refusals.apply(failure)
                     .plusHeader(REQUEST_ID_HEADER, context.requestId().toString()));
         }
         return new RunResult(failure.kind().status(), failure.kind(), attempts);
--- /dev/null
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/RouteLimits.java
@@ -0,0 +1,71 @@
+package org.sequoianotch.daemon.call;
+
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import org.sequoianotch.daemon.http.HttpExchange;
+import org.sequoianotch.model.ServiceName;
+import org.sequoianotch.route.Route;
+import org.sequoianotch.route.RouteTable;
+import org.sequoianotch.template.RouteRule;
+import org.sequoianotch.template.ServiceRule;
+
+/**
+ * Limits of services that are reached by a route table, which names none.
+ *
+ * <p>This class is thread-safe.
+ */
+public final class RouteLimits {
+    /** The announced slots of an instance are the only limit of what it runs at once. */
+    private static final int NO_MAX_IN_FLIGHT = 100_000;
+
+    /** Calls that may wait at an instance; more than this wait longer than {@link #QUEUE_TIME_MS} anyway. */
+    private static final int QUEUE_LENGTH = 256;
+
+    /** A call that waited this long has used a third of the shortest target latencies of the deployments. */
+    private static final long QUEUE_TIME_MS = 300;
+
+    /** Half of the bound of 20% that all nodes share, because their shares are not used evenly. */
+    private static final int RETRY_BUDGET_PERCENT = 10;
+
+    /** Time for which instances of the deployments are slow after their start. */
+    private static final long SLOW_START_MS = 3_000;
+
+    private final Map<ServiceName, ServiceRule> rules = new ConcurrentHashMap<>();
+
+    /** Creates the limits. */
+    public RouteLimits() {}
+
+    /**
+     * Returns the limits of a service.
+     *
+     * @param service the service; not null
+     * @return the limits, never null
+     */
+    public ServiceRule of(ServiceName service) {
+        return rules.computeIfAbsent(
+                service,
+                name -> new ServiceRule(
+                        name, NO_MAX_IN_FLIGHT, QUEUE_LENGTH, QUEUE_TIME_MS, RETRY_BUDGET_PERCENT, SLOW_START_MS));
+    }
+
+    OutboundCall outbound(
+            HttpExchange exchange, RouteTable table, CallerTerms terms, Route route, ServiceName service) {
+        RouteRule rule = new RouteRule(
+                service,
+                RouteRule.ANY_METHOD,
+                route.pathPrefix(),
+                route.criticality(),
+                route.repeat(),
+                route.timeoutMs(),
+                route.maxAttempts() - 1);
+        return new OutboundCall(
+                exchange.method(),
+                exchange.uri(),
+                terms.headers(),
+                exchange.hasBody() ? exchange.bodyBytes() : 0,
+                null,
+                rule,
+                of(service),
+                table.revision());
+    }
+}
--- /dev/null
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/TraceDialect.java
@@ -0,0 +1,32 @@
+package org.sequoianotch.daemon.call;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.random.RandomGenerator;
+import org.sequoianotch.protocol.AnswerHeader;
+import org.sequoianotch.protocol.CallHeader;
+import org.sequoianotch.protocol.HeaderField;
+
+/** The project's own headers: the trace context and the time left. */
+final class TraceDialect implements BackendDialect {
+    private static final String TIMEOUT_HEADER = "Sequoianotch-Timeout-Ms";
+
+    private final RandomGenerator random;
+
+    TraceDialect(RandomGenerator random) {
+        this.random = random;
+    }
+
+    @Override
+    public List<HeaderField> requestHeaders(CallHeader call, String instanceId, long timeLeftMs) {
+        List<HeaderField> headers = new ArrayList<>(call.headers());
+        headers.add(new HeaderField(TraceParent.HEADER, TraceParent.format(call.requestId(), random.nextLong())));
+        headers.add(new HeaderField(TIMEOUT_HEADER, Long.toString(timeLeftMs)));
+        return headers;
+    }
+
+    @Override
+    public BackendAnswer read(CallHeader call, AnswerHeader answer) {
+        return BackendAnswer.PLAIN;
+    }
+}
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/BackendClient.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/BackendClient.java
@@ -25,7 +25,7 @@
  */
 public final class BackendClient {
     /** A connection idle for longer is not reused, because the backend server may close it at that moment. */
-    private static final double MAX_IDLE_MS = 1_000;
+    static final double DEFAULT_MAX_IDLE_MS = 1_000;
 
     private static final int WRITE_HIGH_WATER_BYTES = 65_536;
     private static final int WRITE_LOW_WATER_BYTES = 16_384;
@@ -33,6 +33,7 @@
     private final Bootstrap bootstrap;
     private final Clock clock;
     private final InetSocketAddress address;
+    private final boolean acceptsUnmarkedEnd;
     private final ArrayDeque<BackendConnection> idle = new ArrayDeque<>();
     private boolean closed;
 
@@ -45,7 +46,26 @@
      * @param clock measures idle times; not null
      */
     public BackendClient(InetSocketAddress address, EventLoopGroup eventLoops, int connectTimeoutMs, Clock clock) {
+        this(address, eventLoops, connectTimeoutMs, false, clock);
+    }
+
+    /**
+     * Creates a client without connections.
+     *
+     * @param address address of the backend server; not null
+     * @param eventLoops event loops that carry the connections; not null
+     * @param connectTimeoutMs limit for connecting, in milliseconds; positive
+     * @param acceptsUnmarkedEnd whether an answer without length and chunks is whole if its connection ends in order
+     * @param clock measures idle times; not null
+     */
+    public BackendClient(
+            InetSocketAddress address,
+            EventLoopGroup eventLoops,
+            int connectTimeoutMs,
+            boolean acceptsUnmarkedEnd,
+            Clock clock) {
         this.address = address;
+        this.acceptsUnmarkedEnd = acceptsUnmarkedEnd;
         this.clock = clock;
         this.bootstrap = new Bootstrap()
                 .group(eventLoops)
@@ -85,7 +105,7 @@
     private BackendConnection attach(Channel channel) {
         InboundQueue queue = new InboundQueue(channel);
         ChannelWriter writer = new ChannelWriter(channel);
-        BackendConnection connection = new BackendConnection(this, channel, queue, writer);
+        BackendConnection connection = new BackendConnection(this, channel, queue, writer, acceptsUnmarkedEnd);
         channel.pipeline().addLast(new PartReader(queue, writer, () -> {}));
         if (!channel.isActive()) {
             queue.put(new HttpPart.Closed("the connection was closed at once"));
@@ -97,7 +117,9 @@
         synchronized (idle) {
             while (!idle.isEmpty()) {
                 BackendConnection connection = idle.pollLast();
-                if (connection.isOpen() && clock.monotonicMs() - connection.idleSinceMs() < MAX_IDLE_MS) {
+                double idleMs = clock.monotonicMs() - connection.idleSinceMs();
+                // Bytes that arrived while nothing was asked belong to no request.
+                if (connection.isOpen() && connection.isQuiet() && idleMs < connection.maxIdleMs()) {
                     return connection;
                 }
                 connection.close();
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/BackendConnection.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/BackendConnection.java
@@ -30,21 +30,57 @@
     private final Channel channel;
     private final InboundQueue queue;
     private final ChannelWriter writer;
+    private final boolean acceptsUnmarkedEnd;
     private boolean reusable;
+    private boolean requestComplete;
     private boolean headRequest;
     private volatile double idleSinceMs;
+    private volatile double maxIdleMs = BackendClient.DEFAULT_MAX_IDLE_MS;
 
-    BackendConnection(BackendClient client, Channel channel, InboundQueue queue, ChannelWriter writer) {
+    BackendConnection(
+            BackendClient client,
+            Channel channel,
+            InboundQueue queue,
+            ChannelWriter writer,
+            boolean acceptsUnmarkedEnd) {
         this.client = client;
         this.channel = channel;
         this.queue = queue;
         this.writer = writer;
+        this.acceptsUnmarkedEnd = acceptsUnmarkedEnd;
     }
 
     boolean isOpen() {
         return channel.isActive();
     }
 
+    /** Tells whether nothing has arrived that nobody has read. */
+    boolean isQuiet() {
+        return queue.isEmpty();
+    }
+
+    double maxIdleMs() {
+        return maxIdleMs;
+    }
+
+    /**
+     * Limits how long the connection may be idle before its next use.
+     *
+     * @param limitMs the limit in milliseconds; positive
+     */
+    public void limitIdleMs(double limitMs) {
+        maxIdleMs = limitMs;
+    }
+
+    /**
+     * Tells whether an answer, or the end of the connection, has arrived.
+     *
+     * @return true if {@link #awaitAnswer} would return at once
+     */
+    public boolean hasAnswer() {
+        return !queue.isEmpty();
+    }
+
     double idleSinceMs() {
         return idleSinceMs;
     }
@@ -67,6 +103,7 @@
     public boolean start(String method, String path, List<HeaderField> headers, long bodyBytes, long timeoutMs)
             throws InterruptedException {
         reusable = false;
+        requestComplete = bodyBytes == 0;
         headRequest = method.equals("HEAD");
         HttpRequest request;
         if (bodyBytes == 0) {
@@ -81,7 +118,9 @@
 
     private void setHeaders(HttpHeaders target, List<HeaderField> headers, String method, long bodyBytes) {
         HeaderFields.addAll(target, headers);
-        target.set(HttpHeaderNames.HOST, "backend");
+        if (!target.contains(HttpHeaderNames.HOST)) {
+            target.set(HttpHeaderNames.HOST, "backend");
+        }
         if (bodyBytes < 0) {
             target.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
         } else if (bodyBytes > 0 || !method.equals("GET")) {
@@ -89,6 +128,17 @@
         }
     }
 
+    /**
+     * Waits until the connection takes more bytes.
+     *
+     * @param timeoutMs longest wait in milliseconds
+     * @return true if it takes more bytes, or false after the time or if it is closed
+     * @throws InterruptedException if the thread is interrupted
+     */
+    public boolean awaitWritable(long timeoutMs) throws InterruptedException {
+        return writer.awaitWritable(timeoutMs);
+    }
+
     /**
      * Sends a part of the body; waits while the backend server does not read.
      *
@@ -109,6 +159,7 @@
      * @throws InterruptedException if the thread is interrupted while waiting
      */
     public boolean end(long timeoutMs) throws InterruptedException {
+        requestComplete = true;
         return writer.write(LastHttpContent.EMPTY_LAST_CONTENT, timeoutMs);
     }
 
@@ -140,7 +191,7 @@
 
     /** A body that ends with the connection cannot be told from one that was cut, so it is never passed on. */
     private Either<Failure, AnswerHeader> check(HttpPart.ResponseHead head) {
-        if (!head.endIsMarked() && !headRequest) {
+        if (!head.endIsMarked() && !headRequest && !acceptsUnmarkedEnd) {
             return Either.left(Failure.of(
                     ErrorKind.BACKEND_CUT_ANSWER,
                     "The backend server's answer has neither a Content-Length nor chunks, so nothing shows whether it"
@@ -173,7 +224,7 @@
 
     /** Ends a call whose answer was read in full: the connection is kept for the next call if it may be. */
     public void finish() {
-        if (reusable && channel.isActive()) {
+        if (reusable && requestComplete && channel.isActive()) {
             client.putBack(this);
         } else {
             channel.close();
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/ChannelWriter.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/ChannelWriter.java
@@ -39,7 +39,7 @@
         return true;
     }
 
-    private boolean awaitWritable(long timeoutMs) throws InterruptedException {
+    boolean awaitWritable(long timeoutMs) throws InterruptedException {
         if (channel.isWritable()) {
             return true;
         }
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/HttpListener.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/HttpListener.java
@@ -27,6 +27,8 @@
     private static final int WRITE_HIGH_WATER_BYTES = 65_536;
     private static final int WRITE_LOW_WATER_BYTES = 16_384;
     private static final long STOP_POLL_MS = 10;
+    /** Connections that a burst of callers opens before they are accepted; a full queue delays them by seconds. */
+    private static final int BACKLOG = 1_024;
 
     private final ListenerOptions options;
     private final HttpHandler handler;
@@ -42,6 +44,7 @@
                 .group(eventLoops)
                 .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_REUSEADDR, true)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(
                         ChannelOption.WRITE_BUFFER_WATER_MARK,
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/InboundQueue.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/InboundQueue.java
@@ -73,4 +73,14 @@
             channel.config().setAutoRead(true);
         }
     }
+
+    /** Tells whether nothing waits to be taken. */
+    boolean isEmpty() {
+        lock.lock();
+        try {
+            return parts.isEmpty();
+        } finally {
+            lock.unlock();
+        }
+    }
 }
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/PartReader.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/PartReader.java
@@ -122,6 +122,9 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        // An answer whose end is the end of its connection is not whole if the connection was reset.
+        malformed = true;
+        queue.put(new HttpPart.Closed("the connection failed: " + cause.getMessage()));
         context.close();
     }
 }
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/metrics/NodeMetrics.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/metrics/NodeMetrics.java
@@ -11,6 +11,8 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.function.DoubleSupplier;
+import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.sequoianotch.daemon.explain.EventKind;
 import org.sequoianotch.daemon.explain.Journal;
@@ -40,7 +42,8 @@
 
     private final PrometheusRegistry registry = new PrometheusRegistry();
     private final PrometheusTextFormatWriter writer = new PrometheusTextFormatWriter(false);
-    private final Supplier<TemplateSet> templates;
+    private final Predicate<ServiceName> knownServices;
+    private final LongSupplier revision;
     private final Counter requests;
     private final Histogram latency;
     private final Counter attempts;
@@ -54,7 +57,20 @@
      * @param templates the templates in force; not null
      */
     public NodeMetrics(Supplier<TemplateSet> templates) {
-        this.templates = templates;
+        this(
+                service -> templates.get().templateOf(service).isPresent(),
+                () -> templates.get().revision());
+    }
+
+    /**
+     * Creates metrics that stand at zero.
+     *
+     * @param knownServices tells which services have a label of their own; not null
+     * @param revision gives the revision of the configuration in force; not null
+     */
+    public NodeMetrics(Predicate<ServiceName> knownServices, LongSupplier revision) {
+        this.knownServices = knownServices;
+        this.revision = revision;
         requests = Counter.builder()
                 .name("sequoianotch_requests_total")
                 .help("Requests from callers that ended at this entry node.")
@@ -94,9 +110,7 @@
                 () -> runtime.totalMemory() - runtime.freeMemory());
         gauge("sequoianotch_jvm_heap_committed_bytes", "Heap memory committed.", runtime::totalMemory);
         gauge("sequoianotch_jvm_heap_max_bytes", "Limit of the heap memory.", runtime::maxMemory);
-        gauge("sequoianotch_template_revision", "Revision of the templates in force.", () -> templates
-                .get()
-                .revision());
+        gauge("sequoianotch_template_revision", "Revision of the configuration in force.", () -> revision.getAsLong());
     }
 
     @Override
@@ -124,7 +138,7 @@
     }
 
     private String serviceLabel(ServiceName service) {
-        return templates.get().templateOf(service).isPresent() ? service.name() : OTHER;
+        return knownServices.test(service) ? service.name() : OTHER;
     }
 
     /**
--- a/sequoianotch-policy/src/main/java/org/sequoianotch/policy/PolicyMode.java
+++ b/sequoianotch-policy/src/main/java/org/sequoianotch/policy/PolicyMode.java
@@ -14,6 +14,7 @@
 import org.sequoianotch.policy.naive.NaiveRetryPolicy;
 import org.sequoianotch.policy.naive.NaiveSelector;
 import org.sequoianotch.policy.retry.ProtectiveRetryPolicy;
+import org.sequoianotch.policy.retry.RedirectRetryPolicy;
 import org.sequoianotch.policy.retry.RetryPolicy;
 import org.sequoianotch.policy.routing.InstanceSelector;
 import org.sequoianotch.policy.routing.ProtectiveSelector;
@@ -50,6 +51,34 @@
             return new ProtectiveRetryPolicy(rule, clock);
         }
     },
+    /** Protective decisions where instances announce their slots truly, and a service's retry budget is shared. */
+    KNOWN_SLOTS {
+        @Override
+        public AdmissionControl newAdmission(ServiceRule rule, int slots, Clock clock) {
+            return ProtectiveAdmission.ofKnownSlots(rule, slots, clock);
+        }
+
+        @Override
+        public EntryGate newEntryGate(Clock clock, RandomGenerator random) {
+            return PROTECTIVE.newEntryGate(clock, random);
+        }
+
+        @Override
+        public InstanceSelector newSelector(
+                ServiceRule rule,
+                DataCentre home,
+                Region homeRegion,
+                int crossRegionPriceMsPerKib,
+                Clock clock,
+                RandomGenerator random) {
+            return PROTECTIVE.newSelector(rule, home, homeRegion, crossRegionPriceMsPerKib, clock, random);
+        }
+
+        @Override
+        public RetryPolicy newRetryPolicy(ServiceRule rule, Clock clock) {
+            return new RedirectRetryPolicy(rule, clock);
+        }
+    },
     /** First come, first served; three retries at each hop; random routing. The baseline for comparisons. */
     NAIVE {
         @Override
--- a/sequoianotch-policy/src/main/java/org/sequoianotch/policy/admission/ConcurrencyLimit.java
+++ b/sequoianotch-policy/src/main/java/org/sequoianotch/policy/admission/ConcurrencyLimit.java
@@ -12,7 +12,7 @@
  *
  * <p>This class is not thread-safe.
  */
-final class ConcurrencyLimit {
+final class ConcurrencyLimit implements InFlightLimit {
     private static final double WINDOW_MS = 100;
     /** A window with few calls is closed after this time, so that the limit also moves under light load. */
     private static final double LONGEST_WINDOW_MS = 1_000;
@@ -93,12 +93,14 @@
         this.baselineFromMs = nowMs;
     }
 
-    int current() {
+    @Override
+    public int current() {
         return (int) limit;
     }
 
     /** Takes in one call that ended. Results that say nothing about the load are ignored. */
-    void onEnd(double nowMs, CallResult result, double latencyMs, int inFlight) {
+    @Override
+    public void onEnd(double nowMs, CallResult result, double latencyMs, int inFlight) {
         boolean saysNothing =
                 result == CallResult.CANCELLED || result == CallResult.FAILED || result == CallResult.SHED_BELOW;
         if (saysNothing || nowMs < windowStartMs) {
--- a/sequoianotch-policy/src/main/java/org/sequoianotch/policy/admission/ProtectiveAdmission.java
+++ b/sequoianotch-policy/src/main/java/org/sequoianotch/policy/admission/ProtectiveAdmission.java
@@ -23,7 +23,7 @@
 public final class ProtectiveAdmission implements AdmissionControl {
     private final ServiceRule rule;
     private final Clock clock;
-    private final ConcurrencyLimit limit;
+    private final InFlightLimit limit;
     private final OverloadLevel level;
     private final WastedCallLevel wastedCallLevel;
     private final WaitingCalls queue = new WaitingCalls();
@@ -42,13 +42,29 @@
         if (slots < 1) {
             throw new IllegalArgumentException("slots is " + slots + ", but must be at least 1");
         }
+        this(rule, clock, new ConcurrencyLimit(Math.min(slots, rule.maxInFlight()), clock.monotonicMs()));
+    }
+
+    private ProtectiveAdmission(ServiceRule rule, Clock clock, InFlightLimit limit) {
         this.rule = rule;
         this.clock = clock;
-        this.limit = new ConcurrencyLimit(Math.min(slots, rule.maxInFlight()), clock.monotonicMs());
+        this.limit = limit;
         this.level = new OverloadLevel(rule.queueTimeMs(), clock.monotonicMs());
         this.wastedCallLevel = new WastedCallLevel(clock.monotonicMs());
     }
 
+    /**
+     * Creates an admission for an instance whose announced slots are known to be right, so that none are searched for.
+     *
+     * @param rule limits of the service; not null
+     * @param slots calls that the instance runs at once; positive
+     * @param clock the clock; not null
+     * @return the admission, never null
+     */
+    public static ProtectiveAdmission ofKnownSlots(ServiceRule rule, int slots, Clock clock) {
+        return new ProtectiveAdmission(rule, clock, InFlightLimit.fixed(Math.min(slots, rule.maxInFlight())));
+    }
+
     @Override
     public AdmissionTicket submit(AdmissionRequest request) {
         DecisionCell cell = new DecisionCell();
--- a/sequoianotch-policy/src/main/java/org/sequoianotch/policy/retry/ProtectiveRetryPolicy.java
+++ b/sequoianotch-policy/src/main/java/org/sequoianotch/policy/retry/ProtectiveRetryPolicy.java
@@ -61,7 +61,13 @@
     private static boolean helps(ErrorKind kind) {
         return switch (kind) {
                 // An attempt ends with NO_INSTANCE when its host cannot be reached; another host may be.
-            case OVERLOADED, DRAINING, NO_INSTANCE, CONNECTION_LOST, BACKEND_CUT_ANSWER, INTERNAL -> true;
+            case OVERLOADED,
+                    INSTANCE_REFUSED,
+                    DRAINING,
+                    NO_INSTANCE,
+                    CONNECTION_LOST,
+                    BACKEND_CUT_ANSWER,
+                    INTERNAL -> true;
             case BAD_REQUEST,
                     UNKNOWN_SERVICE,
                     KEY_REQUIRED,
@@ -73,6 +79,8 @@
                     DEADLINE_BEFORE_RUN,
                     DEADLINE_IN_DOUBT,
                     BODY_INCOMPLETE,
+                    BODY_TOO_LARGE,
+                    NOT_CONFIGURED,
                     CALLER_GONE -> false;
         };
     }
--- /dev/null
+++ b/sequoianotch-policy/src/main/java/org/sequoianotch/policy/retry/RedirectRetryPolicy.java
@@ -0,0 +1,59 @@
+package org.sequoianotch.policy.retry;
+
+import org.sequoianotch.error.ErrorKind;
+import org.sequoianotch.template.ServiceRule;
+import org.sequoianotch.time.Clock;
+
+/**
+ * Decides on retries where a call that was refused before it reached an instance may be sent to another one freely, and
+ * only calls that reached an instance count as load.
+ *
+ * <p>This class is thread-safe.
+ */
+public final class RedirectRetryPolicy implements RetryPolicy {
+    /** After this many refusals in a row the service as a whole has no room, and a further search adds latency. */
+    private static final int MAX_REDIRECTS = 3;
+
+    /** Retries that a node may make without earlier calls; many nodes share the budget of a service. */
+    private static final double BURST_TOKENS = 1;
+
+    private final RetryBudget budget;
+
+    /**
+     * Creates a policy.
+     *
+     * @param rule the service's retry budget; not null
+     * @param clock the clock; not null
+     */
+    public RedirectRetryPolicy(ServiceRule rule, Clock clock) {
+        this.budget = RetryBudget.withoutFloor(rule.retryBudgetPercent(), BURST_TOKENS, clock);
+    }
+
+    @Override
+    public void onFirstAttempt() {
+        budget.onFirstAttempt();
+    }
+
+    @Override
+    public boolean mayRetry(RetryQuestion question, RetryAllowance allowance) {
+        ErrorKind kind = question.failure().kind();
+        if (question.timeLeftMs() <= 0) {
+            return false;
+        }
+        return switch (kind) {
+            case OVERLOADED, DRAINING, NO_INSTANCE -> question.attempts() <= MAX_REDIRECTS;
+            case INSTANCE_REFUSED -> takeFromBudget(question, allowance);
+            case CONNECTION_LOST, BACKEND_CUT_ANSWER -> question.repeat().isRepeatableInDoubt()
+                    && takeFromBudget(question, allowance);
+            default -> false;
+        };
+    }
+
+    private boolean takeFromBudget(RetryQuestion question, RetryAllowance allowance) {
+        synchronized (budget) {
+            return budget.hasToken(question.criticality())
+                    && allowance.takeForRetry()
+                    && budget.take(question.criticality());
+        }
+    }
+}
--- a/sequoianotch-policy/src/main/java/org/sequoianotch/policy/retry/RetryBudget.java
+++ b/sequoianotch-policy/src/main/java/org/sequoianotch/policy/retry/RetryBudget.java
@@ -19,11 +19,18 @@
 
     private final double share;
     private final Clock clock;
-    private double tokens = BURST_TOKENS;
+    private final double floorTokensPerMs;
+    private final double burstTokens;
+    private final double criticalTokens;
+    private double tokens;
     private double refilledAtMs;
 
-    private RetryBudget(int percent, Clock clock) {
+    private RetryBudget(int percent, double floorTokensPerMs, double burstTokens, double criticalTokens, Clock clock) {
         this.share = percent / PERCENT;
+        this.floorTokensPerMs = floorTokensPerMs;
+        this.burstTokens = burstTokens;
+        this.criticalTokens = criticalTokens;
+        this.tokens = burstTokens;
         this.clock = clock;
         this.refilledAtMs = clock.monotonicMs();
     }
@@ -36,12 +43,24 @@
      * @return the budget, never null
      */
     public static RetryBudget of(int percent, Clock clock) {
-        return new RetryBudget(percent, clock);
+        return new RetryBudget(percent, FLOOR_TOKENS_PER_MS, BURST_TOKENS, CRITICAL_TOKENS, clock);
+    }
+
+    /**
+     * Creates a budget that is refilled by calls only, for a deployment in which many nodes share one bound.
+     *
+     * @param percent retries allowed for each hundred first attempts; from 0 to 100
+     * @param burstTokens retries that may be saved up; at least 1
+     * @param clock the clock; not null
+     * @return the budget, full at first; never null
+     */
+    public static RetryBudget withoutFloor(int percent, double burstTokens, Clock clock) {
+        return new RetryBudget(percent, 0, burstTokens, 0, clock);
     }
 
     /** Counts a first attempt. */
     public synchronized void onFirstAttempt() {
-        tokens = Math.min(BURST_TOKENS, tokens + share);
+        tokens = Math.min(burstTokens, tokens + share);
     }
 
     /**
@@ -52,9 +71,9 @@
      */
     public synchronized boolean hasToken(Criticality criticality) {
         double nowMs = clock.monotonicMs();
-        tokens = Math.min(BURST_TOKENS, tokens + (nowMs - refilledAtMs) * FLOOR_TOKENS_PER_MS);
+        tokens = Math.min(burstTokens, tokens + (nowMs - refilledAtMs) * floorTokensPerMs);
         refilledAtMs = nowMs;
-        double reserved = criticality == Criticality.CRITICAL ? 0 : CRITICAL_TOKENS;
+        double reserved = criticality == Criticality.CRITICAL ? 0 : criticalTokens;
         return share > 0 && tokens >= 1 + reserved;
     }
 
