--- a/sequoianotch-control/src/main/java/org/sequoianotch/control/group/RaftMember.java
+++ b/sequoianotch-control/src/main/java/org/sequoianotch/control/group/RaftMember.java
@@ -430,7 +430,9 @@
         try {
             while (role == Role.LEADER && term() == startTerm && fault.isEmpty()) {
                 double nowMs = clock.monotonicMs();
-                if (peers.majorityAnsweredAtMs(nowMs) >= startMs && replica.commitIndex() >= termStartIndex) {
+                boolean confirmed =
+                        replica.members().members().size() == 1 || peers.majorityAnsweredAtMs(nowMs) > startMs;
+                if (confirmed && replica.commitIndex() >= termStartIndex) {
                     return Either.right(reader.get());
                 }
                 double leftMs = startMs + timeoutMs - nowMs;
--- /dev/null
+++ b/sequoianotch-control/src/test/java/org/sequoianotch/control/OpenGroupTest.java
@@ -0,0 +1,162 @@
+package org.sequoianotch.control;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentSkipListMap;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.sequoianotch.control.group.GroupSettings;
+import org.sequoianotch.control.state.ChangeRequest;
+import org.sequoianotch.control.state.ChangeResult.Accepted;
+import org.sequoianotch.model.HostId;
+import org.sequoianotch.model.OrganisationName;
+import org.sequoianotch.time.SystemClock;
+
+/** Guards against a group that starts from seeds and then never gets, or never replaces, its further members. */
+final class OpenGroupTest {
+    private static final long ELECTION_TIMEOUT_MS = 150;
+    private static final long REMOVE_SILENT_AFTER_MS = 900;
+    private static final OrganisationName ORGANISATION = OrganisationName.of("deployment");
+
+    private final LocalNetwork network = new LocalNetwork();
+    private final SortedMap<HostId, String> known = new ConcurrentSkipListMap<>();
+    private final SortedMap<HostId, ControlGroup> groups = new TreeMap<>();
+
+    @TempDir
+    private Path folder;
+
+    private void start(String name, boolean firstStart) {
+        HostId host = HostId.of(name);
+        known.put(host, name);
+        SortedMap<HostId, String> own = new TreeMap<>();
+        own.put(host, name);
+        ControlGroupOptions options = new ControlGroupOptions(
+                host,
+                own,
+                folder.resolve(name),
+                GroupSettings.of(ELECTION_TIMEOUT_MS),
+                1_000,
+                5_000,
+                GroupFormation.open(List.of("host-2", "host-0", "host-1"), firstStart, REMOVE_SILENT_AFTER_MS, 3));
+        ControlGroup group = new ControlGroup(
+                options, () -> known, (request, texts) -> List.of(), network.asker(name), SystemClock.INSTANCE);
+        network.register(name, group.askHandler());
+        group.start();
+        groups.put(host, group);
+    }
+
+    private void stop(String name) {
+        network.unregister(name);
+        groups.remove(HostId.of(name)).close();
+    }
+
+    @AfterEach
+    void close() {
+        List.copyOf(groups.keySet()).forEach(host -> stop(host.name()));
+    }
+
+    private ControlGroup group(String name) {
+        return groups.get(HostId.of(name));
+    }
+
+    private int voters() {
+        return groups.values().stream()
+                .filter(group -> group.status().inContact())
+                .mapToInt(group -> group.status().members().members().size())
+                .max()
+                .orElse(0);
+    }
+
+    private static ChangeRequest change(String id, long expected, long revision) {
+        return new ChangeRequest(id, "ana", ORGANISATION, "text of " + id, expected, revision);
+    }
+
+    /** Only the three seeds are told to a host; the others have to be found and admitted. */
+    @Test
+    void furtherHostsAreAdmittedAndMembersThatAreGoneAreRemoved() {
+        start("host-1", true);
+        start("host-2", true);
+        start("host-3", true);
+        start("host-0", true);
+        ControlHosts.await("four voters", () -> voters() == 4);
+        assertThat(ControlHosts.answered(() -> group("host-3").apply(change("c1", 0, 5))))
+                .isEqualTo(new Accepted(5));
+
+        stop("host-1");
+        known.remove(HostId.of("host-1"));
+        ControlHosts.await("three voters", () -> voters() == 3);
+        start("host-1", false);
+
+        ControlHosts.await("four voters again", () -> voters() == 4);
+        ControlHosts.await(
+                "a read at the host that was away", () -> group("host-1").read().isRight());
+        assertThat(group("host-1").read().get().revision()).isEqualTo(5);
+    }
+
+    /** A host that lost its disk must not found a second group beside the one that it was part of. */
+    @Test
+    void hostWithAnEmptyDiskJoinsTheGroupThatItBelongedTo() throws IOException {
+        start("host-0", true);
+        start("host-1", true);
+        start("host-2", true);
+        assertThat(ControlHosts.answered(() -> group("host-1").apply(change("c1", 0, 9))))
+                .isEqualTo(new Accepted(9));
+        stop("host-0");
+        for (String file : List.of("log", "vote", "member", "snapshot", "lock")) {
+            Files.deleteIfExists(folder.resolve("host-0").resolve(file));
+        }
+
+        start("host-0", false);
+
+        ControlHosts.await(
+                "a read at the host without its disk",
+                () -> group("host-0").read().isRight());
+        assertThat(group("host-0").read().get().revision()).isEqualTo(9);
+    }
+
+    /** A damaged folder counts as a lost disk; the host must come back by itself. */
+    @Test
+    void hostWithADamagedFolderJoinsUnderANewIdentity() throws IOException {
+        start("host-0", true);
+        start("host-1", true);
+        start("host-2", true);
+        assertThat(ControlHosts.answered(() -> group("host-1").apply(change("c1", 0, 9))))
+                .isEqualTo(new Accepted(9));
+        String before = group("host-2").status().memberId();
+        stop("host-2");
+        Path vote = folder.resolve("host-2").resolve("vote");
+        byte[] content = Files.readAllBytes(vote);
+        content[content.length / 2] ^= 0x10;
+        Files.write(vote, content);
+
+        start("host-2", false);
+
+        ControlHosts.await("a voter again", () -> group("host-2").status().inContact());
+        assertThat(group("host-2").status().memberId()).isNotEqualTo(before);
+    }
+
+    /** Revisions of operators rise in uneven steps, and a resend must be acknowledged again after later changes. */
+    @Test
+    void resendOfAnAcceptedChangeIsAcknowledgedAfterLaterChanges() {
+        start("host-0", true);
+        start("host-1", true);
+        start("host-2", true);
+        ControlHosts.answered(() -> group("host-0").apply(change("c1", 0, 4)));
+        ControlHosts.answered(() -> group("host-1").apply(change("c2", 4, 11)));
+
+        assertThat(ControlHosts.answered(() -> group("host-2").apply(change("c1", 0, 4))))
+                .isEqualTo(new Accepted(4));
+        assertThat(ControlHosts.answered(() -> group("host-2").apply(change("c3", 4, 12))))
+                .isNotInstanceOf(Accepted.class);
+        Either<?, ?> read = group("host-0").read();
+        assertThat(read.isLeft() || group("host-0").revision() <= 11).isTrue();
+    }
+}
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/InstanceRegistry.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/InstanceRegistry.java
@@ -52,7 +52,7 @@
         Lifetime known = current.get(report.service());
         if (known != null && !isNews(known, report)) {
             LOG.info(
-                    "[member] A late heartbeat {} of {} born at {} was not used; heartbeat {} of {} born at {} is known.",
+                    "[member] Heartbeat {} of {} born at {} was late and not used; known is {} of {} born at {}.",
                     report.sequence(),
                     report.instanceId(),
                     report.bornAtMs(),
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/HttpExchange.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/HttpExchange.java
@@ -265,7 +265,7 @@
 
     boolean isReusable() {
         boolean bodyTaken = bodyRead || !head.hasBody() && consumeEmptyBody();
-        return head.keepAlive() && bodyTaken && !aborted;
+        return head.keepAlive() && bodyTaken && !aborted && !connection.isStopping();
     }
 
     private boolean consumeEmptyBody() {
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/ServerConnection.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/ServerConnection.java
@@ -46,6 +46,11 @@
         return writer;
     }
 
+    /** Tells whether the listener takes no further requests on this connection. */
+    boolean isStopping() {
+        return listener.isStopping();
+    }
+
     Channel channel() {
         return channel;
     }
--- /dev/null
+++ b/sequoianotch-daemon/src/test/java/org/sequoianotch/daemon/call/InstanceRegistryTest.java
@@ -0,0 +1,123 @@
+package org.sequoianotch.daemon.call;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.net.InetAddress;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.sequoianotch.model.BackendState;
+import org.sequoianotch.model.DataCentre;
+import org.sequoianotch.model.HostId;
+import org.sequoianotch.model.Instance;
+import org.sequoianotch.model.Region;
+import org.sequoianotch.model.ServiceName;
+import org.sequoianotch.policy.PolicyMode;
+import org.sequoianotch.template.ServiceRule;
+import org.sequoianotch.time.ManualClock;
+
+/** Guards against calls to an instance that said that it leaves, or that was replaced by a later process. */
+final class InstanceRegistryTest {
+    private static final ServiceName FEES = ServiceName.of("fees");
+    private static final long DRAIN_NOTICE_MS = 1_000;
+    private static final long TAKEOVER_MS = 4_500;
+
+    private final EventLoopGroup eventLoops = new NioEventLoopGroup(1);
+    private final ManualClock clock = ManualClock.startingAt(0);
+    private final List<BackendState> announced = new ArrayList<>();
+    private final LocalInstances instances = new LocalInstances(
+            new HostPlace(HostId.of("host-1"), DataCentre.of("dc-1"), Region.of("r-1"), "127.0.0.1:1"),
+            InetAddress.getLoopbackAddress(),
+            12_000,
+            PolicyMode.KNOWN_SLOTS,
+            clock,
+            eventLoops,
+            ServiceRule::ofDefaults,
+            new BackendOptions(DRAIN_NOTICE_MS, true));
+    private final InstanceRegistry registry = new InstanceRegistry(instances, clock, TAKEOVER_MS);
+
+    InstanceRegistryTest() {
+        instances.setOnChange(all -> all.stream().map(Instance::state).forEach(announced::add));
+    }
+
+    @AfterEach
+    void close() {
+        eventLoops.shutdownGracefully();
+    }
+
+    private boolean report(String id, long bornAtMs, long sequence, BackendState state) {
+        return registry.report(new InstanceReport(id, bornAtMs, sequence, FEES, 9_000, 20, state));
+    }
+
+    private boolean accepts() {
+        LocalInstance instance = instances.find(FEES);
+        return instance != null && instance.accepts(clock.monotonicMs());
+    }
+
+    /** A heartbeat that was delayed on its way must not bring an instance back that said that it leaves. */
+    @Test
+    void lateHeartbeatDoesNotUndoTheDrain() {
+        report("i-1", 100, 1, BackendState.SERVING);
+        report("i-1", 100, 3, BackendState.DRAINING);
+
+        assertThat(report("i-1", 100, 2, BackendState.SERVING)).isFalse();
+
+        clock.advance(DRAIN_NOTICE_MS + 1);
+        assertThat(accepts()).isFalse();
+        assertThat(announced)
+                .containsExactly(BackendState.SERVING, BackendState.DRAINING)
+                .inOrder();
+    }
+
+    /** Other nodes learn of a drain within the notice; refusing at once would only add a hop to their calls. */
+    @Test
+    void callsAreTakenUntilOtherNodesKnowOfTheDrain() {
+        report("i-1", 100, 1, BackendState.SERVING);
+        report("i-1", 100, 2, BackendState.DRAINING);
+
+        assertThat(accepts()).isTrue();
+        clock.advance(DRAIN_NOTICE_MS / 2.0);
+        report("i-1", 100, 3, BackendState.DRAINING);
+        clock.advance(DRAIN_NOTICE_MS / 2.0 + 1);
+
+        assertThat(accepts()).isFalse();
+    }
+
+    @Test
+    void withdrawnInstanceStaysAwayWhateverArrivesLate() {
+        report("i-1", 100, 1, BackendState.SERVING);
+        registry.withdraw("i-1", 100);
+
+        assertThat(report("i-1", 100, 2, BackendState.SERVING)).isFalse();
+        clock.advance(DRAIN_NOTICE_MS + 1);
+        assertThat(accepts()).isFalse();
+    }
+
+    /** The same id may start again; its sequence numbers then begin anew. */
+    @ParameterizedTest
+    @CsvSource({"i-1", "i-2"})
+    void laterLifetimeTakesOver(String nextId) {
+        report("i-1", 100, 50, BackendState.DRAINING);
+
+        assertThat(report(nextId, 200, 1, BackendState.SERVING)).isTrue();
+        assertThat(accepts()).isTrue();
+        assertThat(report("i-1", 100, 51, BackendState.DRAINING)).isFalse();
+        assertThat(accepts()).isTrue();
+    }
+
+    /** The time of day of a host may be set back, so that a new process seems to be older than the one before. */
+    @Test
+    void lifetimeThatSeemsOlderTakesOverOnceTheOtherIsSilent() {
+        report("i-1", 900, 5, BackendState.SERVING);
+        assertThat(report("i-2", 100, 1, BackendState.SERVING)).isFalse();
+
+        clock.advance(TAKEOVER_MS + 1);
+
+        assertThat(report("i-2", 100, 2, BackendState.SERVING)).isTrue();
+    }
+}
--- a/sequoianotch-daemon/src/test/java/org/sequoianotch/daemon/http/BackendClientTest.java
+++ b/sequoianotch-daemon/src/test/java/org/sequoianotch/daemon/http/BackendClientTest.java
@@ -68,6 +68,55 @@
         assertThat(result).isEqualTo(expected.strip());
     }
 
+    /** An answer without length and chunks ends with its connection; the users' instances give such answers. */
+    @Test
+    void answerThatEndsWithItsConnectionIsWholeWhereThatIsAccepted() throws Exception {
+        serve("HTTP/1.1 200 OK\r\n\r\nabcd", true);
+
+        assertThat(call(unmarkedEndClient().connect().get()).get()).isEqualTo("abcd");
+    }
+
+    /** A reset ends the connection too, but the answer is cut. */
+    @Test
+    void answerWithoutAMarkedEndIsCutByAReset() throws Exception {
+        Thread.ofVirtual().start(() -> {
+            try (Socket socket = server.accept()) {
+                socket.getInputStream().read(new byte[4_096]);
+                socket.getOutputStream().write("HTTP/1.1 200 OK\r\n\r\nabcd".getBytes(StandardCharsets.US_ASCII));
+                Thread.sleep(100);
+                socket.setSoLinger(true, 0);
+            } catch (IOException | InterruptedException e) {
+                throw new IllegalStateException(e);
+            }
+        });
+
+        assertThat(call(unmarkedEndClient().connect().get()).getLeft().kind()).isEqualTo(ErrorKind.BACKEND_CUT_ANSWER);
+    }
+
+    /** A second answer that comes late must not be taken for that of the next request. */
+    @Test
+    void connectionOnWhichSomethingArrivedUnaskedIsNotReused() throws Exception {
+        serve("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno", false);
+        BackendClient client = client();
+        BackendConnection first = client.connect().get();
+        assertThat(call(first).get()).isEqualTo("ok");
+        Thread.sleep(100);
+        first.finish();
+
+        assertThat(call(client.connect().get()).get()).isEqualTo("ok");
+
+        assertThat(accepted.get()).isEqualTo(2);
+    }
+
+    private BackendClient unmarkedEndClient() {
+        return new BackendClient(
+                new InetSocketAddress(InetAddress.getLoopbackAddress(), server.getLocalPort()),
+                eventLoops,
+                1_000,
+                true,
+                SystemClock.INSTANCE);
+    }
+
     @Test
     void refusedConnectionProvesThatNothingRan() throws Exception {
         int port = server.getLocalPort();
--- a/sequoianotch-policy/src/main/java/org/sequoianotch/policy/admission/ProtectiveAdmission.java
+++ b/sequoianotch-policy/src/main/java/org/sequoianotch/policy/admission/ProtectiveAdmission.java
@@ -39,10 +39,7 @@
      * @throws IllegalArgumentException if there are no slots
      */
     public ProtectiveAdmission(ServiceRule rule, int slots, Clock clock) {
-        if (slots < 1) {
-            throw new IllegalArgumentException("slots is " + slots + ", but must be at least 1");
-        }
-        this(rule, clock, new ConcurrencyLimit(Math.min(slots, rule.maxInFlight()), clock.monotonicMs()));
+        this(rule, clock, new ConcurrencyLimit(limitOf(rule, slots), clock.monotonicMs()));
     }
 
     private ProtectiveAdmission(ServiceRule rule, Clock clock, InFlightLimit limit) {
@@ -62,7 +59,14 @@
      * @return the admission, never null
      */
     public static ProtectiveAdmission ofKnownSlots(ServiceRule rule, int slots, Clock clock) {
-        return new ProtectiveAdmission(rule, clock, InFlightLimit.fixed(Math.min(slots, rule.maxInFlight())));
+        return new ProtectiveAdmission(rule, clock, InFlightLimit.fixed(limitOf(rule, slots)));
+    }
+
+    private static int limitOf(ServiceRule rule, int slots) {
+        if (slots < 1) {
+            throw new IllegalArgumentException("slots is " + slots + ", but must be at least 1");
+        }
+        return Math.min(slots, rule.maxInFlight());
     }
 
     @Override
--- a/sequoianotch-policy/src/main/java/org/sequoianotch/policy/retry/RedirectRetryPolicy.java
+++ b/sequoianotch-policy/src/main/java/org/sequoianotch/policy/retry/RedirectRetryPolicy.java
@@ -14,8 +14,8 @@
     /** After this many refusals in a row the service as a whole has no room, and a further search adds latency. */
     private static final int MAX_REDIRECTS = 3;
 
-    /** Retries that a node may make without earlier calls; many nodes share the budget of a service. */
-    private static final double BURST_TOKENS = 1;
+    /** A node may make one retry without earlier calls, and keeps fractions beyond it; many nodes share the budget. */
+    private static final double BURST_TOKENS = 1.5;
 
     private final RetryBudget budget;
 
