--- a/sequoianotch-core/src/main/java/org/sequoianotch/error/ErrorKind.java
+++ b/sequoianotch-core/src/main/java/org/sequoianotch/error/ErrorKind.java
@@ -7,7 +7,7 @@
  * The closed list of error kinds, with the answer that each leads to.
  *
  * <p>A kind fixes the HTTP status, the outcome that the caller is told, the wait before a repeat makes sense, and one
- * plain sentence. {@code docs/operations.md} documents each kind for the on-call engineer.
+ * plain sentence. {@code docs/OPERATIONS.md} documents each kind for the on-call engineer.
  */
 public enum ErrorKind {
     /** The request is malformed. */
--- a/sequoianotch-ctl/src/test/java/org/sequoianotch/ctl/OperationsPageTest.java
+++ b/sequoianotch-ctl/src/test/java/org/sequoianotch/ctl/OperationsPageTest.java
@@ -17,7 +17,7 @@
 
     @BeforeEach
     void read() throws IOException {
-        page = Files.readString(Path.of("..", "docs", "operations.md"));
+        page = Files.readString(Path.of("..", "docs", "OPERATIONS.md"));
     }
 
     @ParameterizedTest
