--- a/sequoianotch-control/src/main/java/org/sequoianotch/control/PeerTasks.java
+++ b/sequoianotch-control/src/main/java/org/sequoianotch/control/PeerTasks.java
@@ -30,7 +30,7 @@
         this.asker = asker;
         this.directory = directory;
         this.requestTimeoutMs = options.settings().requestTimeoutMs();
-        this.idleWaitMs = Math.max(1, options.settings().heartbeatMs() / 4);
+        this.idleWaitMs = Math.max(1, options.settings().heartbeatMs() / 2);
     }
 
     /** Starts a task for each peer that has none, and stops those of former peers. */
--- a/sequoianotch-core/src/main/java/org/sequoianotch/error/ErrorKind.java
+++ b/sequoianotch-core/src/main/java/org/sequoianotch/error/ErrorKind.java
@@ -30,7 +30,7 @@
     /** The instance received the request and rejected it without running it. */
     INSTANCE_REFUSED(503, Outcome.NOT_RUN, 1_000, "The instance rejected the request without running it."),
     /** This node knows no configuration yet. */
-    NOT_CONFIGURED(503, Outcome.NOT_RUN, 1_000, "This node has not received the configuration yet."),
+    NOT_CONFIGURED(503, Outcome.NOT_RUN, 2_000, "This node has not received the configuration yet."),
     /** The request's body is larger than the configuration allows. */
     BODY_TOO_LARGE(413, Outcome.NOT_RUN, 0, "The request body is larger than allowed."),
     /** The node or the instance is leaving. */
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/AttemptRunner.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/AttemptRunner.java
@@ -170,7 +170,7 @@
         journal.record(
                 context.requestId(),
                 kind,
-                String.format(
+                () -> String.format(
                         "%s to %s at host %s in data centre %s by %s, with %d ms and %d retries left.",
                         word,
                         outbound.service(),
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/InstanceServer.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/InstanceServer.java
@@ -213,7 +213,7 @@
         journal.record(
                 context.requestId(),
                 EventKind.ADMITTED,
-                String.format(
+                () -> String.format(
                         "Sent to the backend server of %s after %.1f ms in the queue, with %d of %d calls in flight.",
                         header.service(), permit.waitedMs(), load.inFlight(), load.limit()));
         boolean started = connection.start(
@@ -352,7 +352,8 @@
         journal.record(
                 context.requestId(),
                 EventKind.ANSWERED,
-                "The backend server of " + call.header().service() + " answered with status " + head.status() + ".");
+                () -> "The backend server of " + call.header().service() + " answered with status " + head.status()
+                        + ".");
         call.end(trailer(context, instance.admission().load()));
         return Either.right(head.status());
     }
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/explain/DecisionLog.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/explain/DecisionLog.java
@@ -1,6 +1,7 @@
 package org.sequoianotch.daemon.explain;
 
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Supplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.sequoianotch.model.RequestId;
@@ -40,6 +41,13 @@
         }
     }
 
+    @Override
+    public void record(RequestId requestId, EventKind kind, Supplier<String> sentence) {
+        if (kind.isNotable()) {
+            record(requestId, kind, sentence.get());
+        }
+    }
+
     @Override
     public void finish(RequestSummary summary) {
         summary.error().ifPresent(error -> {
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/explain/JournalChain.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/explain/JournalChain.java
@@ -1,6 +1,7 @@
 package org.sequoianotch.daemon.explain;
 
 import java.util.List;
+import java.util.function.Supplier;
 import org.sequoianotch.model.RequestId;
 
 /**
@@ -30,6 +31,11 @@
         journals.forEach(journal -> journal.record(requestId, kind, sentence));
     }
 
+    @Override
+    public void record(RequestId requestId, EventKind kind, Supplier<String> sentence) {
+        journals.forEach(journal -> journal.record(requestId, kind, sentence));
+    }
+
     @Override
     public void finish(RequestSummary summary) {
         journals.forEach(journal -> journal.finish(summary));
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/metrics/NodeMetrics.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/metrics/NodeMetrics.java
@@ -1,5 +1,6 @@
 package org.sequoianotch.daemon.metrics;
 
+import io.prometheus.metrics.core.datapoints.CounterDataPoint;
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.CounterWithCallback;
 import io.prometheus.metrics.core.metrics.GaugeWithCallback;
@@ -8,8 +9,10 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.util.EnumMap;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Objects;
 import java.util.function.DoubleSupplier;
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
@@ -49,7 +52,7 @@
     private final Counter attempts;
     private final Counter retries;
     private final Counter refusals;
-    private final Counter events;
+    private final Map<EventKind, CounterDataPoint> eventCounts = new EnumMap<>(EventKind.class);
 
     /**
      * Creates metrics that stand at zero.
@@ -90,11 +93,14 @@
                 .help("Requests from callers that were refused and proved not to have run.")
                 .labelNames("service", "error")
                 .register(registry);
-        events = Counter.builder()
+        Counter events = Counter.builder()
                 .name("sequoianotch_events_total")
                 .help("Events of requests and sub-calls on this node, by kind.")
                 .labelNames("kind")
                 .register(registry);
+        for (EventKind kind : EventKind.values()) {
+            eventCounts.put(kind, events.labelValues(kind.name().toLowerCase(Locale.ROOT)));
+        }
         registerMemory();
     }
 
@@ -115,7 +121,16 @@
 
     @Override
     public void record(RequestId requestId, EventKind kind, String sentence) {
-        events.labelValues(kind.name().toLowerCase(Locale.ROOT)).inc();
+        count(kind);
+    }
+
+    @Override
+    public void record(RequestId requestId, EventKind kind, Supplier<String> sentence) {
+        count(kind);
+    }
+
+    private void count(EventKind kind) {
+        Objects.requireNonNull(eventCounts.get(kind)).inc();
     }
 
     @Override
--- a/sequoianotch-membership/src/main/java/org/sequoianotch/membership/Membership.java
+++ b/sequoianotch-membership/src/main/java/org/sequoianotch/membership/Membership.java
@@ -26,7 +26,7 @@
  */
 public final class Membership implements AutoCloseable {
     private static final Logger LOG = LogManager.getLogger(Membership.class);
-    private static final long MAX_TICK_MS = 50;
+    private static final long MAX_TICK_MS = 100;
     private static final long MAINTENANCE_INTERVAL_MS = 60_000;
     /** Gossip rounds for which {@link #leave} waits at most. */
     private static final int LEAVE_ROUNDS = 10;
