Deliver an answer that comes before the request's body is sent; count lingering connections as finished

Cause: two faults that RequestPathTest showed. A caller's upload waited for room in the body window although its answer was there, until the route's timeout, and got 504 instead of the answer. A stop waited up to two seconds for clients to close connections whose last response was sent.

Change: the body window closes when the answer starts; a listener that stops waits for requests in flight only.

--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/LocalCall.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/LocalCall.java
@@ -120,6 +120,8 @@
         @Override
         public Either<Failure, Void> answer(AnswerHeader answerHeader) {
             head.complete(Either.right(answerHeader));
+            // Whoever answers reads no more of the request; the sending end must not wait for room.
+            request.fail(Failure.of(ErrorKind.CONNECTION_LOST, "The call was answered before its body was read."));
             return Either.right(null);
         }
 
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/HttpListener.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/HttpListener.java
@@ -94,14 +94,18 @@
         serverChannel.close().sync();
         connections.forEach(ServerConnection::closeWhenIdle);
         long deadlineNs = System.nanoTime() + timeoutMs * 1_000_000;
-        while (!connections.isEmpty() && System.nanoTime() < deadlineNs) {
+        while (isServing() && System.nanoTime() < deadlineNs) {
             Thread.sleep(STOP_POLL_MS);
         }
-        boolean finished = connections.isEmpty();
+        boolean finished = !isServing();
         connections.forEach(ServerConnection::close);
         return finished;
     }
 
+    private boolean isServing() {
+        return !connections.stream().allMatch(ServerConnection::isLingering);
+    }
+
     boolean isStopping() {
         return stopping;
     }
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/ServerConnection.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/ServerConnection.java
@@ -28,6 +28,7 @@
     private final List<Runnable> closeActions = new ArrayList<>();
     private boolean closed;
     private volatile boolean idle = true;
+    private volatile boolean lingering;
 
     ServerConnection(Channel channel, HttpListener listener, ListenerOptions options, HttpHandler handler) {
         this.channel = channel;
@@ -46,6 +47,11 @@
         return writer;
     }
 
+    /** Tells whether the last response was sent and only the other side's end of the connection is awaited. */
+    boolean isLingering() {
+        return lingering;
+    }
+
     /** Tells whether the listener takes no further requests on this connection. */
     boolean isStopping() {
         return listener.isStopping();
@@ -112,6 +118,7 @@
     }
 
     private void finishClosing() throws InterruptedException {
+        lingering = true;
         if (channel instanceof DuplexChannel duplex && channel.isActive()) {
             duplex.shutdownOutput().addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
             discardInput();
--- a/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/link/OutgoingCall.java
+++ b/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/link/OutgoingCall.java
@@ -90,6 +90,8 @@
         if (!head.complete(Either.right(header)) && !ended.get()) {
             throw new ProtocolViolationException("an answer starts twice");
         }
+        // Whoever answers reads no more of the body. A writer that waited for room would not read the answer either.
+        window.close(Failure.of(ErrorKind.BODY_INCOMPLETE, "The peer answered before the whole body was sent."));
     }
 
     void answerPart(byte[] bytes) throws ProtocolViolationException {
