--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -10,14 +10,14 @@
 cp platform/target/sequoianotch-platform-*.jar platform/target/lib/*.jar target/app/
 "$jdk/bin/jlink" --output target/runtime --strip-debug --no-header-files --no-man-pages \
     --add-modules java.base,java.logging,java.management,java.desktop,java.sql,java.naming,java.xml,java.compiler,jdk.unsupported,jdk.net
-path=$(printf '%s:' target/app/*.jar)
+mv target/app/sequoianotch-platform-*.jar target/app/sequoianotch-platform.jar
 for role in node control; do
-    { cat "deploy/$role.jvm"; echo "-cp ${path%:}"; } > "target/$role.jvm"
+    cp "deploy/$role.jvm" "target/$role.jvm"
 done
 # The self-test loads what a process needs; the archive spares each start the loading and checking of these classes.
 target/runtime/bin/java -Xshare:dump -XX:+UseSerialGC -XX:+UseCompactObjectHeaders -Xmx128m -Xlog:disable
-target/runtime/bin/java @target/node.jvm -XX:ArchiveClassesAtExit=target/app.jsa -Xlog:disable \
-    org.sequoianotch.platform.Main self-test --requests 500
+target/runtime/bin/java @target/node.jvm -XX:ArchiveClassesAtExit=target/app.jsa \
+    -jar target/app/sequoianotch-platform.jar self-test --requests 500
 for role in node control; do
     echo "-XX:SharedArchiveFile=target/app.jsa" >> "target/$role.jvm"
 done
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/Logging.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/Logging.java
@@ -25,11 +25,13 @@
                 ? builder.newLayout("JsonTemplateLayout").addAttribute("eventTemplateUri", "classpath:EcsLayout.json")
                 : textLayout(builder);
         builder.add(console(builder, ConsoleAppender.Target.SYSTEM_ERR, layout));
-        apply(builder, "console", Level.valueOf(settings.text(NodeSetting.LOG_LEVEL)));
+        addLoggers(builder, "console", Level.valueOf(settings.text(NodeSetting.LOG_LEVEL)));
+        Configurator.reconfigure(builder.build());
     }
 
     /**
-     * Writes text lines to standard output without ever blocking the thread that logs.
+     * Writes text lines to standard output without ever blocking the thread that logs. To be called before any logger
+     * is made, so that Log4j is set up once only, which takes a good part of a process's start.
      *
      * @param levelName lowest level that is written, such as {@code info}; not null
      */
@@ -40,7 +42,8 @@
                 .addAttribute("blocking", false)
                 .addAttribute("bufferSize", ASYNC_BUFFER_LINES)
                 .addComponent(builder.newAppenderRef("console")));
-        apply(builder, "async", Level.valueOf(levelName));
+        addLoggers(builder, "async", Level.valueOf(levelName));
+        Configurator.initialize(builder.build());
     }
 
     private static ConfigurationBuilder<BuiltConfiguration> newBuilder() {
@@ -62,11 +65,10 @@
                 .add(layout);
     }
 
-    private static void apply(ConfigurationBuilder<BuiltConfiguration> builder, String appender, Level level) {
+    private static void addLoggers(ConfigurationBuilder<BuiltConfiguration> builder, String appender, Level level) {
         builder.add(builder.newRootLogger(Level.WARN).add(builder.newAppenderRef(appender)));
         builder.add(builder.newLogger("org.sequoianotch", level)
                 .addAttribute("additivity", false)
                 .add(builder.newAppenderRef(appender)));
-        Configurator.reconfigure(builder.build());
     }
 }
