Do not pass on a success without the instance's signature

Change: the adapter tells such a head as spoiled; the call ends as one whose answer was cut, and is sent again if it is safe and the budget allows.

Ruled out: heads cut at any byte; the new test of the client shows that none of them counts as whole.

--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/BackendAnswer.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/BackendAnswer.java
@@ -7,9 +7,10 @@
  *
  * @param belongsToCall false if it answers another request that was sent on this connection before
  * @param notExecuted true if the backend server states that it did not run the request
+ * @param spoiled true if the head is not one that the backend server gives, so that the answer is not passed on
  * @param maxIdleMs how long the connection may be kept without a request, in milliseconds; zero if it is not said
  */
-public record BackendAnswer(boolean belongsToCall, boolean notExecuted, long maxIdleMs) {
+public record BackendAnswer(boolean belongsToCall, boolean notExecuted, boolean spoiled, long maxIdleMs) {
     /** An ordinary answer that says nothing more. */
-    public static final BackendAnswer PLAIN = new BackendAnswer(true, false, 0);
+    public static final BackendAnswer PLAIN = new BackendAnswer(true, false, false, 0);
 }
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/InstanceServer.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/InstanceServer.java
@@ -243,6 +243,11 @@
                 return Either.left(head.getLeft());
             }
             BackendAnswer note = dialect.read(call.header(), head.get());
+            if (note.spoiled()) {
+                String detail =
+                        "The instance's answer with status " + head.get().status() + " is spoiled.";
+                return Either.left(Failure.of(ErrorKind.BACKEND_CUT_ANSWER, detail));
+            }
             if (note.belongsToCall() && !note.notExecuted()) {
                 if (note.maxIdleMs() > 0) {
                     connection.limitIdleMs(note.maxIdleMs());
--- a/sequoianotch-daemon/src/test/java/org/sequoianotch/daemon/http/BackendClientTest.java
+++ b/sequoianotch-daemon/src/test/java/org/sequoianotch/daemon/http/BackendClientTest.java
@@ -1,6 +1,7 @@
 package org.sequoianotch.daemon.http;
 
 import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
 
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
@@ -76,6 +77,33 @@
         assertThat(call(unmarkedEndClient().connect().get()).get()).isEqualTo("abcd");
     }
 
+    /** A backend server that crashes cuts its answer anywhere, in the head as well. */
+    @Test
+    void answerCutAtAnyByteIsNotTakenAsWhole() throws Exception {
+        String whole = "HTTP/1.1 200 OK\r\nX-First: a1\r\nX-Second: s\r\nContent-Length: 4\r\n\r\nabcd";
+        for (int length = 0; length < whole.length(); length++) {
+            String cut = whole.substring(0, length);
+            serveOnce(cut);
+
+            Either<Failure, String> result = call(unmarkedEndClient().connect().get());
+
+            assertWithMessage("cut after %s bytes", length)
+                    .that(result.isLeft())
+                    .isTrue();
+        }
+    }
+
+    private void serveOnce(String answer) {
+        Thread.ofVirtual().start(() -> {
+            try (Socket socket = server.accept()) {
+                socket.getInputStream().read(new byte[4_096]);
+                socket.getOutputStream().write(answer.getBytes(StandardCharsets.US_ASCII));
+            } catch (IOException e) {
+                throw new IllegalStateException(e);
+            }
+        });
+    }
+
     /** A reset ends the connection too, but the answer is cut. */
     @Test
     void answerWithoutAMarkedEndIsCutByAReset() throws Exception {
