--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/CallerHandler.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/CallerHandler.java
@@ -3,8 +3,6 @@
 import io.netty.util.Timeout;
 import io.vavr.control.Either;
 import java.util.concurrent.TimeUnit;
-import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.Logger;
 import org.sequoianotch.daemon.explain.EventKind;
 import org.sequoianotch.daemon.explain.Journal;
 import org.sequoianotch.daemon.explain.RequestSummary;
@@ -25,7 +23,6 @@
  * <p>This class is thread-safe.
  */
 final class CallerHandler implements HttpHandler {
-    private static final Logger LOG = LogManager.getLogger(CallerHandler.class);
     private static final String KEYS_PATH = "/v1/keys";
     private static final int CREATED = 201;
 
@@ -103,7 +100,7 @@
                         timeoutMs,
                         TimeUnit.MILLISECONDS);
         exchange.onClose(() -> context.cancel(Failure.of(ErrorKind.CALLER_GONE, "The caller closed its connection.")));
-        RunResult result = runGuarded(exchange, outbound, context);
+        RunResult result = runner.runGuarded(exchange, outbound, context);
         deadline.cancel();
         journal.finish(new RequestSummary(
                 requestId,
@@ -114,20 +111,4 @@
                 clock.monotonicMs() - startedAtMs,
                 result.attempts()));
     }
-
-    private RunResult runGuarded(HttpExchange exchange, OutboundCall outbound, RequestContext context)
-            throws InterruptedException {
-        try {
-            return runner.run(exchange, outbound, context);
-        } catch (RuntimeException e) {
-            LOG.error("[call] Request {} failed on a defect.", context.requestId(), e);
-            if (exchange.isHeadSent()) {
-                exchange.abort();
-                return new RunResult(ErrorKind.INTERNAL.status(), ErrorKind.INTERNAL, 0);
-            }
-            return runner.refuse(exchange, context, Failure.of(ErrorKind.INTERNAL, e.toString()), 0);
-        } finally {
-            context.cancel(Failure.of(ErrorKind.CALLER_GONE, "The request has ended."));
-        }
-    }
 }
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/RequestRunner.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/RequestRunner.java
@@ -5,6 +5,8 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Function;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.jspecify.annotations.Nullable;
 import org.sequoianotch.daemon.explain.EventKind;
 import org.sequoianotch.daemon.explain.Journal;
@@ -31,6 +33,7 @@
  * <p>This class is thread-safe.
  */
 final class RequestRunner {
+    private static final Logger LOG = LogManager.getLogger(RequestRunner.class);
     static final String OUTCOME_HEADER = "Sequoianotch-Outcome";
     static final String REQUEST_ID_HEADER = "Sequoianotch-Request-Id";
     private static final long MAX_COMPLETE_MS = 1_000;
@@ -57,6 +60,23 @@
         this.refusals = refusals;
     }
 
+    /** Runs the request and responds, whatever defect it meets, and ends the context. */
+    RunResult runGuarded(HttpExchange exchange, OutboundCall outbound, RequestContext context)
+            throws InterruptedException {
+        try {
+            return run(exchange, outbound, context);
+        } catch (RuntimeException e) {
+            LOG.error("[call] Request {} failed on a defect.", context.requestId(), e);
+            if (exchange.isHeadSent()) {
+                exchange.abort();
+                return new RunResult(ErrorKind.INTERNAL.status(), ErrorKind.INTERNAL, 0);
+            }
+            return refuse(exchange, context, Failure.of(ErrorKind.INTERNAL, e.toString()), 0);
+        } finally {
+            context.cancel(Failure.of(ErrorKind.CALLER_GONE, "The request has ended."));
+        }
+    }
+
     /** Runs the request and responds; the result says what the caller was told. */
     RunResult run(HttpExchange exchange, OutboundCall outbound, RequestContext context) throws InterruptedException {
         if (!outbound.route().repeat().needsKey() || outbound.keyText().isEmpty()) {
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/RouteHandler.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/RouteHandler.java
@@ -7,8 +7,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
-import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.Logger;
 import org.sequoianotch.daemon.explain.EventKind;
 import org.sequoianotch.daemon.explain.Journal;
 import org.sequoianotch.daemon.explain.RequestSummary;
@@ -27,8 +25,6 @@
  * <p>This class is thread-safe.
  */
 final class RouteHandler implements HttpHandler {
-    private static final Logger LOG = LogManager.getLogger(RouteHandler.class);
-
     private final Supplier<RouteTable> tables;
     private final RouteLimits limits;
     private final CallerDialect dialect;
@@ -117,7 +113,7 @@
                 timeoutMs,
                 TimeUnit.MILLISECONDS);
         exchange.onClose(() -> context.cancel(Failure.of(ErrorKind.CALLER_GONE, "The caller closed its connection.")));
-        RunResult result = runGuarded(exchange, outbound, context);
+        RunResult result = runner.runGuarded(exchange, outbound, context);
         deadline.cancel();
         journal.finish(new RequestSummary(
                 terms.requestId(),
@@ -128,20 +124,4 @@
                 clock.monotonicMs() - startedAtMs,
                 result.attempts()));
     }
-
-    private RunResult runGuarded(HttpExchange exchange, OutboundCall outbound, RequestContext context)
-            throws InterruptedException {
-        try {
-            return runner.run(exchange, outbound, context);
-        } catch (RuntimeException e) {
-            LOG.error("[call] Request {} failed on a defect.", context.requestId(), e);
-            if (exchange.isHeadSent()) {
-                exchange.abort();
-                return new RunResult(ErrorKind.INTERNAL.status(), ErrorKind.INTERNAL, 0);
-            }
-            return runner.refuse(exchange, context, Failure.of(ErrorKind.INTERNAL, e.toString()), 0);
-        } finally {
-            context.cancel(Failure.of(ErrorKind.CALLER_GONE, "The request has ended."));
-        }
-    }
 }
