Count the answer of a request towards the price of another region

The product's own path is as before.

Measured: CrossRegionPriceTest replays the choice; it failed without the volume of the answer.

--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/CallForwarder.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/CallForwarder.java
@@ -33,18 +33,21 @@
     private final AttemptRunner attempts;
     private final Journal journal;
     private final Clock clock;
+    private final long assumedAnswerBytes;
 
     CallForwarder(
             InstanceDirectory directory,
             ServicePolicies policies,
             AttemptRunner attempts,
             Journal journal,
-            Clock clock) {
+            Clock clock,
+            long assumedAnswerBytes) {
         this.directory = directory;
         this.policies = policies;
         this.attempts = attempts;
         this.journal = journal;
         this.clock = clock;
+        this.assumedAnswerBytes = assumedAnswerBytes;
     }
 
     /** State of one call over its attempts. One thread uses it. */
@@ -111,7 +114,8 @@
         if (candidates.stream().allMatch(instance -> progress.triedHosts.contains(instance.host()))) {
             progress.triedHosts.clear();
         }
-        long volumeBytes = outbound.bodyBytes() < 0 ? ASSUMED_BODY_BYTES : outbound.bodyBytes();
+        long bodyBytes = outbound.bodyBytes() < 0 ? ASSUMED_BODY_BYTES : outbound.bodyBytes();
+        long volumeBytes = bodyBytes + assumedAnswerBytes;
         RoutingRequest request = new RoutingRequest(context.criticality(), volumeBytes, progress.triedHosts);
         return policies.selector(outbound.limits())
                 .select(request, candidates)
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/CallPath.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/CallPath.java
@@ -50,7 +50,7 @@
         server = new InstanceServer(
                 instances, contexts, journal, clock, surroundings.timer(), new TraceDialect(surroundings.random()));
         AttemptRunner attempts = new AttemptRunner(surroundings.place(), network, server, policies, journal, clock);
-        CallForwarder forwarder = new CallForwarder(directory, policies, attempts, journal, clock);
+        CallForwarder forwarder = new CallForwarder(directory, policies, attempts, journal, clock, 0);
         RequestRunner runner =
                 new RequestRunner(forwarder, ledger, surroundings.ledgerDataCentres(), journal, clock, Problem::of);
         CallRules rules = new CallRules(surroundings.templates());
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/RoutedCallPath.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/RoutedCallPath.java
@@ -22,6 +22,9 @@
     private static final Ledger NO_LEDGER =
             (key, fingerprint, timeoutMs) -> new ClaimResult.Unreachable("Routed requests have no idempotency keys.");
 
+    /** Mean size of the answers in the deployments; most requests have no body, so their answers are the volume. */
+    private static final long ASSUMED_ANSWER_BYTES = 5_000;
+
     private final ContextRegistry contexts = new ContextRegistry();
     private final InstanceServer server;
     private final RouteHandler callerHandler;
@@ -36,8 +39,8 @@
                 parts.instances(), contexts, parts.journal(), parts.clock(), parts.timer(), parts.backendDialect());
         AttemptRunner attempts = new AttemptRunner(
                 parts.place(), parts.network(), server, parts.policies(), parts.journal(), parts.clock());
-        CallForwarder forwarder =
-                new CallForwarder(parts.directory(), parts.policies(), attempts, parts.journal(), parts.clock());
+        CallForwarder forwarder = new CallForwarder(
+                parts.directory(), parts.policies(), attempts, parts.journal(), parts.clock(), ASSUMED_ANSWER_BYTES);
         RequestRunner runner = new RequestRunner(
                 forwarder, NO_LEDGER, List.of(), parts.journal(), parts.clock(), parts.callerDialect()::refusal);
         callerHandler = new RouteHandler(
--- /dev/null
+++ b/sequoianotch-policy/src/test/java/org/sequoianotch/policy/routing/CrossRegionPriceTest.java
@@ -0,0 +1,60 @@
+package org.sequoianotch.policy.routing;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.sequoianotch.model.Criticality;
+import org.sequoianotch.model.DataCentre;
+import org.sequoianotch.model.Instance;
+import org.sequoianotch.model.LoadReport;
+import org.sequoianotch.model.Region;
+import org.sequoianotch.model.ServiceName;
+import org.sequoianotch.policy.PolicyMode;
+import org.sequoianotch.policy.TestInstances;
+import org.sequoianotch.template.ServiceRule;
+import org.sequoianotch.time.ManualClock;
+
+/**
+ * Replays a pair of instances of different speed in two regions. Requests without a body cost nothing by their own
+ * volume, so that a slightly faster instance drew them over the priced link before their answers counted.
+ */
+final class CrossRegionPriceTest {
+    private static final int PRICE_MS_PER_KIB = 10;
+    private static final LoadReport IDLE = new LoadReport(1, 50, 0, LoadReport.ADMIT_ALL);
+
+    private final ManualClock clock = ManualClock.startingAt(0);
+    private final Instance home = TestInstances.of("host-0", "rennes", "ille", 50, 0);
+    private final Instance far = TestInstances.of("host-1", "brest", "finistere", 50, 0);
+    private final InstanceSelector selector = PolicyMode.KNOWN_SLOTS.newSelector(
+            new ServiceRule(ServiceName.of("vitrine"), 100, 10, 100, 10, 0),
+            DataCentre.of("rennes"),
+            Region.of("ille"),
+            PRICE_MS_PER_KIB,
+            clock,
+            new Random(1));
+
+    private void observe(Instance instance, double latencyMs) {
+        for (int i = 0; i < 50; i++) {
+            Attempt attempt = selector.start(instance);
+            clock.advance(10);
+            attempt.finish(AttemptResult.SUCCEEDED, latencyMs, IDLE);
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource({"130, 95, 5000, false", "130, 95, 0, true", "600, 95, 5000, true", "600, 95, 500000, false"})
+    void farInstanceHasToSaveMoreThanItsAnswerCosts(double homeMs, double farMs, long volumeBytes, boolean expectsFar) {
+        observe(far, farMs);
+        observe(home, homeMs);
+
+        Instance chosen = selector.select(
+                        new RoutingRequest(Criticality.STANDARD, volumeBytes, Set.of()), List.of(home, far))
+                .orElseThrow();
+
+        assertThat(chosen.equals(far)).isEqualTo(expectsFar);
+    }
+}
