Sync the data folder on an interrupted thread too

Cause: the files of the data folder were freed of interruptible channels, but the sync of the folder itself was not, so that a vote stored by an interrupted thread still made its member withdraw. Found when the change was read again; the new test failed before.

Change: the interrupt is put off while the folder is synced. The doc of the follower says configuration where it said templates.

--- a/sequoianotch-control/src/main/java/org/sequoianotch/control/ConfigurationFollower.java
+++ b/sequoianotch-control/src/main/java/org/sequoianotch/control/ConfigurationFollower.java
@@ -34,6 +34,8 @@
  * goes on to the next one; after a round without success it asks neighbours. Use: create it, register
  * {@link #askHandler} for {@link Topic#CONTROL} unless the host is a control host, and call {@link #start}. This class
  * is thread-safe.
+ *
+ * @param <T> the configuration as it is read from the texts of a revision
  */
 public class ConfigurationFollower<T> implements AutoCloseable {
     private static final Logger LOGGER = LogManager.getLogger(ConfigurationFollower.class);
@@ -102,7 +104,7 @@
         }
         // Not under the lock, because the questions take it when they find a higher revision.
         askAtStart();
-        thread = TaskThreads.start("template-follower", this::followLoop);
+        thread = TaskThreads.start("configuration-follower", this::followLoop);
     }
 
     /** Takes the highest revision that is in reach now. */
@@ -111,7 +113,7 @@
         addresses.addAll(someNeighbours(options.startNeighbours()));
         List<Thread> questions = new ArrayList<>();
         for (String address : addresses) {
-            questions.add(TaskThreads.start("template-question", () -> fetch(address, 0)));
+            questions.add(TaskThreads.start("configuration-question", () -> fetch(address, 0)));
         }
         try {
             for (Thread question : questions) {
@@ -145,7 +147,7 @@
         try {
             return pollRound(options.pollWaitMs());
         } catch (RuntimeException e) {
-            LOGGER.error("[control] A round of the template follower failed on a defect.", e);
+            LOGGER.error("[control] A round of the follower failed on a defect.", e);
             return false;
         }
     }
@@ -195,10 +197,10 @@
     }
 
     /**
-     * Takes templates if their revision is higher than the present one and all of them can be read.
+     * Takes a configuration if its revision is higher than the present one and it can be read.
      *
-     * @param texts the templates; not null
-     * @return true if they are in force now
+     * @param texts the texts of the revision; not null
+     * @return true if it is in force now
      */
     public synchronized boolean offer(TemplateTexts texts) {
         if (texts.revision() <= currentRevision) {
@@ -233,7 +235,7 @@
     }
 
     /**
-     * Takes note that a host has a revision, as gossip shows. If it is higher, the templates are fetched from there in
+     * Takes note that a host has a revision, as gossip shows. If it is higher, it is fetched from there in
      * the background; one such question is open at a time.
      *
      * @param revision the revision
@@ -241,7 +243,7 @@
      */
     public void hint(long revision, String address) {
         if (revision > currentRevision && !closed && hintOpen.compareAndSet(false, true)) {
-            TaskThreads.start("template-hint", () -> {
+            TaskThreads.start("configuration-hint", () -> {
                 try {
                     fetch(address, 0);
                 } finally {
@@ -252,9 +254,9 @@
     }
 
     /**
-     * Returns the templates in force on this node.
+     * Returns the configuration in force on this node.
      *
-     * @return the templates, never null
+     * @return the configuration, never null
      */
     public T current() {
         return current;
--- a/sequoianotch-control/src/main/java/org/sequoianotch/control/log/DiskFolder.java
+++ b/sequoianotch-control/src/main/java/org/sequoianotch/control/log/DiskFolder.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.RandomAccessFile;
+import java.nio.channels.ClosedByInterruptException;
 import java.nio.channels.FileChannel;
 import java.nio.channels.FileLock;
 import java.nio.channels.OverlappingFileLockException;
@@ -159,9 +160,26 @@
         }
     }
 
+    /** Only a channel can sync a folder, and an interrupt would close it; the interrupt is kept for later. */
     private void syncFolder() throws IOException {
+        boolean interrupted = Thread.interrupted();
+        try {
+            while (!syncUnlessInterrupted()) {
+                interrupted |= Thread.interrupted();
+            }
+        } finally {
+            if (interrupted) {
+                Thread.currentThread().interrupt();
+            }
+        }
+    }
+
+    private boolean syncUnlessInterrupted() throws IOException {
         try (FileChannel channel = FileChannel.open(folder, StandardOpenOption.READ)) {
             channel.force(true);
+            return true;
+        } catch (ClosedByInterruptException e) {
+            return false;
         }
     }
 }
--- a/sequoianotch-control/src/test/java/org/sequoianotch/control/log/DiskFolderTest.java
+++ b/sequoianotch-control/src/test/java/org/sequoianotch/control/log/DiskFolderTest.java
@@ -23,6 +23,18 @@
         }
     }
 
+    /** Storing a vote also syncs the folder, which is only possible through a channel. */
+    @Test
+    void replacementByAnInterruptedThreadSucceeds(@TempDir Path path) {
+        try (DiskFolder folder = DiskFolder.open(path)) {
+            Thread.currentThread().interrupt();
+            folder.replace("vote", new byte[] {1});
+            assertThat(Thread.interrupted()).isTrue();
+
+            assertThat(folder.read("vote").orElseThrow()).isEqualTo(new byte[] {1});
+        }
+    }
+
     @Test
     void removedFileIsGoneAndMayBeRemovedAgain(@TempDir Path path) {
         try (DiskFolder folder = DiskFolder.open(path)) {
