Generate idempotency keys only once the home ledger grants them

A node handed out a key before the ledger hosts had formed their group; such a key may have been used as far as the ledger knows, so that the booking ended with key_in_doubt although the key was new.

Change: POST /v1/keys asks the ledger hosts whether they would grant the new key (message Probe, which claims nothing) until a majority said so once. Before that it answers 503 ledger_not_ready, outcome not-run, with Retry-After; the quickstart client asks again.

Ruled out: relaxing the refusal of old keys, which is what keeps a booking from running twice after a loss of all ledger hosts.

--- a/sequoianotch-core/src/main/java/org/sequoianotch/error/ErrorKind.java
+++ b/sequoianotch-core/src/main/java/org/sequoianotch/error/ErrorKind.java
@@ -25,6 +25,8 @@
     /** The ledger of the key's home data centre has no majority in reach. */
     LEDGER_UNREACHABLE(
             503, Outcome.UNKNOWN, 2_000, "The ledger that knows whether this idempotency key ran is out of reach."),
+    /** The ledger grants no new keys, so that a node mints none. */
+    LEDGER_NOT_READY(503, Outcome.NOT_RUN, 1_000, "The ledger does not grant new idempotency keys at the moment."),
     /** The request was shed. */
     OVERLOADED(503, Outcome.NOT_RUN, 1_000, "The service is overloaded and more important requests go first."),
     /** The instance received the request and rejected it without running it. */
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/burn/Verdict.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/burn/Verdict.java
@@ -44,7 +44,7 @@
         return switch (kind) {
             case OVERLOADED, INSTANCE_REFUSED, RETRIES_EXHAUSTED -> Optional.of(SHED);
             case DEADLINE_BEFORE_RUN -> Optional.of(LATE);
-            case NO_INSTANCE, DRAINING, NOT_CONFIGURED, INTERNAL -> Optional.of(FAILED);
+            case NO_INSTANCE, DRAINING, NOT_CONFIGURED, LEDGER_NOT_READY, INTERNAL -> Optional.of(FAILED);
             case KEY_IN_PROGRESS,
                     KEY_IN_DOUBT,
                     LEDGER_UNREACHABLE,
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/CallPath.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/CallPath.java
@@ -54,7 +54,7 @@
         RequestRunner runner =
                 new RequestRunner(forwarder, ledger, surroundings.ledgerDataCentres(), journal, clock, Problem::of);
         CallRules rules = new CallRules(surroundings.templates());
-        callerHandler = new CallerHandler(rules, runner, surroundings);
+        callerHandler = new CallerHandler(rules, runner, ledger, surroundings);
         backendHandler = new BackendHandler(rules, runner, contexts, instances, clock);
     }
 
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/CallerHandler.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/CallerHandler.java
@@ -11,6 +11,7 @@
 import org.sequoianotch.daemon.http.Problem;
 import org.sequoianotch.daemon.http.WholeResponse;
 import org.sequoianotch.daemon.ledger.IdempotencyKey;
+import org.sequoianotch.daemon.ledger.Ledger;
 import org.sequoianotch.error.ErrorKind;
 import org.sequoianotch.error.Failure;
 import org.sequoianotch.model.RequestId;
@@ -28,13 +29,15 @@
 
     private final CallRules rules;
     private final RequestRunner runner;
+    private final Ledger ledger;
     private final CallPath.Surroundings surroundings;
     private final Journal journal;
     private final Clock clock;
 
-    CallerHandler(CallRules rules, RequestRunner runner, CallPath.Surroundings surroundings) {
+    CallerHandler(CallRules rules, RequestRunner runner, Ledger ledger, CallPath.Surroundings surroundings) {
         this.rules = rules;
         this.runner = runner;
+        this.ledger = ledger;
         this.surroundings = surroundings;
         this.journal = surroundings.journal();
         this.clock = surroundings.clock();
@@ -43,9 +46,7 @@
     @Override
     public void handle(HttpExchange exchange) throws InterruptedException {
         if (exchange.uri().equals(KEYS_PATH) && exchange.method().equals("POST")) {
-            IdempotencyKey key = IdempotencyKey.mint(
-                    surroundings.homeOfNewKeys(), surroundings.ledgerEpoch(), clock.nowMs(), surroundings.random());
-            exchange.respond(WholeResponse.ofText(CREATED, "text/plain; charset=utf-8", key.text() + "\n"));
+            exchange.respond(newKey());
             return;
         }
         RequestId requestId = RequestId.random(surroundings.random());
@@ -65,6 +66,15 @@
         run(exchange, outbound, requestId, timeoutMs.get());
     }
 
+    private WholeResponse newKey() {
+        IdempotencyKey key = IdempotencyKey.mint(
+                surroundings.homeOfNewKeys(), surroundings.ledgerEpoch(), clock.nowMs(), surroundings.random());
+        return ledger.grants(key)
+                ? WholeResponse.ofText(CREATED, "text/plain; charset=utf-8", key.text() + "\n")
+                : Problem.of(Failure.of(
+                        ErrorKind.LEDGER_NOT_READY, "The ledger of " + key.home() + " did not grant a new key."));
+    }
+
     private void refuseEarly(HttpExchange exchange, RequestId requestId, Failure failure) throws InterruptedException {
         journal.record(
                 requestId, EventKind.REFUSED, "Refused with " + failure.kind().code() + ": " + failure.detail());
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/RoutedCallPath.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/RoutedCallPath.java
@@ -6,8 +6,7 @@
 import java.util.random.RandomGenerator;
 import org.sequoianotch.daemon.explain.Journal;
 import org.sequoianotch.daemon.http.HttpHandler;
-import org.sequoianotch.daemon.ledger.ClaimResult;
-import org.sequoianotch.daemon.ledger.Ledger;
+import org.sequoianotch.daemon.ledger.NoLedger;
 import org.sequoianotch.protocol.link.CallHandler;
 import org.sequoianotch.protocol.link.PeerNetwork;
 import org.sequoianotch.route.RouteTable;
@@ -19,9 +18,6 @@
  * <p>This class is thread-safe.
  */
 public final class RoutedCallPath {
-    private static final Ledger NO_LEDGER =
-            (key, fingerprint, timeoutMs) -> new ClaimResult.Unreachable("Routed requests have no idempotency keys.");
-
     /** Mean size of the answers in the deployments; most requests have no body, so their answers are the volume. */
     private static final long ASSUMED_ANSWER_BYTES = 5_000;
 
@@ -42,7 +38,7 @@
         CallForwarder forwarder = new CallForwarder(
                 parts.directory(), parts.policies(), attempts, parts.journal(), parts.clock(), ASSUMED_ANSWER_BYTES);
         RequestRunner runner = new RequestRunner(
-                forwarder, NO_LEDGER, List.of(), parts.journal(), parts.clock(), parts.callerDialect()::refusal);
+                forwarder, new NoLedger(), List.of(), parts.journal(), parts.clock(), parts.callerDialect()::refusal);
         callerHandler = new RouteHandler(
                 parts.tables(),
                 parts.limits(),
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/ledger/ClaimRegister.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/ledger/ClaimRegister.java
@@ -46,12 +46,27 @@
             case LedgerMessage.Doubt doubt -> doubt(doubt);
             case LedgerMessage.Complete complete -> complete(complete);
             case LedgerMessage.Lookup lookup -> held(table.claims(lookup.key(), clock.nowMs()));
+            case LedgerMessage.Probe probe -> probe(probe);
             case LedgerMessage.Status status -> new LedgerReply.Status(
                     settings.epoch(), boot, formation(), table.lifeOf(status.fromAddress()));
             case LedgerMessage.Copy copy -> copy(copy);
         };
     }
 
+    private LedgerReply probe(LedgerMessage.Probe probe) {
+        LedgerReply.Reason reason = refuse(probe.key(), clock.nowMs());
+        return reason == null ? new LedgerReply.Done() : new LedgerReply.Refused(reason);
+    }
+
+    private LedgerReply.@Nullable Reason refuse(String key, long nowMs) {
+        Formation formation = formation();
+        if (formation == null || key.length() > MAX_KEY_LENGTH) {
+            return LedgerReply.Reason.RECOVERING;
+        }
+        LedgerReply.Reason reason = admission.refuse(key, formation.completeFromMs(), nowMs);
+        return reason == null && !hasRoom() ? LedgerReply.Reason.FULL : reason;
+    }
+
     private LedgerReply claim(LedgerMessage.Claim claim) {
         long nowMs = clock.nowMs();
         List<StoredClaim> held = table.claims(claim.key(), nowMs);
@@ -63,13 +78,7 @@
         if (table.released(claim.claimId())) {
             return new LedgerReply.Refused(LedgerReply.Reason.RELEASED);
         }
-        Formation formation = formation();
-        LedgerReply.Reason reason = formation == null || claim.key().length() > MAX_KEY_LENGTH
-                ? LedgerReply.Reason.RECOVERING
-                : admission.refuse(claim.key(), formation.completeFromMs(), nowMs);
-        if (reason == null && !hasRoom()) {
-            reason = LedgerReply.Reason.FULL;
-        }
+        LedgerReply.Reason reason = refuse(claim.key(), nowMs);
         if (reason != null) {
             return new LedgerReply.Refused(reason);
         }
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/ledger/Ledger.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/ledger/Ledger.java
@@ -12,4 +12,13 @@
      * @return the result, never null
      */
     ClaimResult claim(IdempotencyKey key, Fingerprint fingerprint, long timeoutMs);
+
+    /**
+     * Tells whether the ledger grants keys that a node mints now. Before its hosts have formed their group, they refuse
+     * a new key as one that may have been used. The method blocks for at most half a second.
+     *
+     * @param key a key that was minted now and that no caller has; not null
+     * @return true if a majority of the ledger of the key's home would grant it
+     */
+    boolean grants(IdempotencyKey key);
 }
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/ledger/LedgerClient.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/ledger/LedgerClient.java
@@ -3,6 +3,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executor;
 import java.util.concurrent.Executors;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -23,6 +25,8 @@
     // Two round trips between regions and a slow sync take about 100 ms; a silent host must not hold a request longer.
     private static final long CLAIM_TIMEOUT_MS = 1_000;
     private static final long RELEASE_TIMEOUT_MS = 500;
+    // Within a data centre an answer takes a few ms; a caller that is told to wait comes back after a second.
+    private static final long PROBE_TIMEOUT_MS = 500;
     // A lost question or answer is repeated; the messages may arrive twice without harm.
     private static final int ATTEMPTS = 3;
 
@@ -30,6 +34,8 @@
     private final LedgerPeers peers;
     private final RandomGenerator random;
     private final LedgerCounters counters;
+    /** Homes whose ledger granted a new key once. Only a loss of all its hosts makes it refuse later ones. */
+    private final Set<DataCentre> granting = ConcurrentHashMap.newKeySet();
 
     private LedgerClient(
             Map<DataCentre, List<String>> hosts, LedgerPeers peers, RandomGenerator random, LedgerCounters counters) {
@@ -82,6 +88,32 @@
         return result;
     }
 
+    @Override
+    public boolean grants(IdempotencyKey key) {
+        if (granting.contains(key.home())) {
+            return true;
+        }
+        List<String> members = hosts.getOrDefault(key.home(), List.of());
+        LedgerMessage question = new LedgerMessage.Probe(key.text());
+        boolean granted = majorityDoes(members, question, PROBE_TIMEOUT_MS, 1);
+        if (granted) {
+            granting.add(key.home());
+        }
+        return granted;
+    }
+
+    private boolean majorityDoes(List<String> members, LedgerMessage message, long timeoutMs, int attempts) {
+        AtomicInteger confirmed = new AtomicInteger();
+        int majority = members.size() / 2 + 1;
+        return peers.askAll(
+                members,
+                message,
+                timeoutMs,
+                attempts,
+                answer -> answer.reply().getOrNull() instanceof LedgerReply.Done
+                        && confirmed.incrementAndGet() >= majority);
+    }
+
     private ClaimResult ask(IdempotencyKey key, Fingerprint fingerprint, long timeoutMs) {
         List<String> members = hosts.getOrDefault(key.home(), List.of());
         if (members.isEmpty()) {
@@ -135,15 +167,7 @@
         }
 
         private boolean tellMajority(LedgerMessage message, long timeoutMs) {
-            AtomicInteger confirmed = new AtomicInteger();
-            int majority = members.size() / 2 + 1;
-            return peers.askAll(
-                    members,
-                    message,
-                    timeoutMs,
-                    ATTEMPTS,
-                    answer -> answer.reply().getOrNull() instanceof LedgerReply.Done
-                            && confirmed.incrementAndGet() >= majority);
+            return majorityDoes(members, message, timeoutMs, ATTEMPTS);
         }
 
         private void end() {
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/ledger/LedgerMessage.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/ledger/LedgerMessage.java
@@ -17,6 +17,9 @@
     /** Asks which claims a key has. */
     record Lookup(String key) implements LedgerMessage {}
 
+    /** Asks whether a claim on a key that nobody holds would be granted. It claims nothing. */
+    record Probe(String key) implements LedgerMessage {}
+
     /** Asks for the state of the host, on behalf of the member with the given address. */
     record Status(String fromAddress) implements LedgerMessage {}
 
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/ledger/MessageCodec.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/ledger/MessageCodec.java
@@ -17,6 +17,7 @@
     private static final int LOOKUP = 5;
     private static final int STATUS = 6;
     private static final int COPY = 7;
+    private static final int PROBE = 8;
     private static final int GRANTED = 1;
     private static final int HELD = 2;
     private static final int REFUSED = 3;
@@ -45,6 +46,10 @@
                     LedgerCodec.header(packer, LOOKUP, 1);
                     packer.packString(lookup.key());
                 }
+                case LedgerMessage.Probe probe -> {
+                    LedgerCodec.header(packer, PROBE, 1);
+                    packer.packString(probe.key());
+                }
                 case LedgerMessage.Status status -> {
                     LedgerCodec.header(packer, STATUS, 1);
                     packer.packString(status.fromAddress());
@@ -63,7 +68,7 @@
         return LedgerCodec.decode(payload, unpacker -> {
             int size = unpacker.unpackArrayHeader();
             int type = unpacker.unpackInt();
-            checkSize(type, size, 0, 7, 4, 4, 7, 2, 2, 6);
+            checkSize(type, size, 0, 7, 4, 4, 7, 2, 2, 6, 2);
             return switch (type) {
                 case CLAIM -> new LedgerMessage.Claim(
                         LedgerCodec.text(unpacker),
@@ -79,6 +84,7 @@
                         present(LedgerCodec.answer(unpacker), "answer"));
                 case LOOKUP -> new LedgerMessage.Lookup(LedgerCodec.text(unpacker));
                 case STATUS -> new LedgerMessage.Status(LedgerCodec.text(unpacker));
+                case PROBE -> new LedgerMessage.Probe(LedgerCodec.text(unpacker));
                 default -> new LedgerMessage.Copy(
                         LedgerCodec.text(unpacker),
                         unpacker.unpackLong(),
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/ledger/NaiveLedger.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/ledger/NaiveLedger.java
@@ -14,6 +14,11 @@
         return new ClaimResult.Granted(NaiveClaim.INSTANCE);
     }
 
+    @Override
+    public boolean grants(IdempotencyKey key) {
+        return true;
+    }
+
     /** A claim that nothing stands behind. */
     private enum NaiveClaim implements Claim {
         INSTANCE;
--- /dev/null
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/ledger/NoLedger.java
@@ -0,0 +1,21 @@
+package org.sequoianotch.daemon.ledger;
+
+/**
+ * The ledger of nodes whose requests have no idempotency keys: it grants nothing.
+ *
+ * <p>This class is stateless and thread-safe.
+ */
+public final class NoLedger implements Ledger {
+    /** Creates the ledger. */
+    public NoLedger() {}
+
+    @Override
+    public ClaimResult claim(IdempotencyKey key, Fingerprint fingerprint, long timeoutMs) {
+        return new ClaimResult.Unreachable("This node has no ledger.");
+    }
+
+    @Override
+    public boolean grants(IdempotencyKey key) {
+        return false;
+    }
+}
--- a/sequoianotch-daemon/src/test/java/org/sequoianotch/daemon/ledger/LedgerHostTest.java
+++ b/sequoianotch-daemon/src/test/java/org/sequoianotch/daemon/ledger/LedgerHostTest.java
@@ -144,6 +144,24 @@
         }
     }
 
+    /** A key that is handed out before this is refused as one that may have been used, although it is new. */
+    @Test
+    void newKeysAreGrantedOnlyAfterTheGroupHasFormed() {
+        try (LedgerWorld world = new LedgerWorld(1, 3, null, false)) {
+            List.of("host0", "host1", "host2").forEach(world::stopHost);
+            List.of("host0", "host1", "host2").forEach(world::startHost);
+            LedgerClient client = world.client("node0", null);
+            assertThat(client.grants(world.newKey(true))).isFalse();
+            world.heal();
+            assertThat(client.grants(world.newKey(true))).isFalse();
+            world.clock.advance(LedgerWorld.SKEW_MS);
+
+            IdempotencyKey key = world.newKey(true);
+            assertThat(client.grants(key)).isTrue();
+            assertThat(client.claim(key, REQUEST, 1_000)).isInstanceOf(ClaimResult.Granted.class);
+        }
+    }
+
     @Test
     void repeatsAreToldTheStateOfTheKey() {
         LedgerClient client = single(settings(Optional.empty()));
--- a/sequoianotch-policy/src/main/java/org/sequoianotch/policy/admission/DecisionCell.java
+++ b/sequoianotch-policy/src/main/java/org/sequoianotch/policy/admission/DecisionCell.java
@@ -1,13 +1,12 @@
 package org.sequoianotch.policy.admission;
 
 import io.vavr.control.Either;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ExecutionException;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
+import java.util.Objects;
 import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
 import org.sequoianotch.error.ErrorKind;
 import org.sequoianotch.error.Failure;
+import org.sequoianotch.task.Signal;
 
 /**
  * Holds the decision about one call until a waiting thread or a callback takes it.
@@ -15,7 +14,9 @@
  * <p>This class is thread-safe. The first decision counts; later ones are ignored.
  */
 public final class DecisionCell {
-    private final CompletableFuture<Either<Failure, Permit>> decision = new CompletableFuture<>();
+    private final Signal decided = new Signal();
+    private @Nullable Either<Failure, Permit> decision;
+    private @Nullable Consumer<Either<Failure, Permit>> consumer;
 
     /** Creates a cell without a decision. */
     public DecisionCell() {}
@@ -35,16 +36,34 @@
      * @param value the permit, or the failure; not null
      */
     public void decide(Either<Failure, Permit> value) {
-        decision.complete(value);
+        Consumer<Either<Failure, Permit>> told;
+        synchronized (this) {
+            if (decision != null) {
+                return;
+            }
+            decision = value;
+            told = consumer;
+        }
+        decided.raise();
+        if (told != null) {
+            told.accept(value);
+        }
     }
 
     /**
      * Passes the decision on when it is made.
      *
-     * @param consumer receives the decision; not null
+     * @param newConsumer receives the decision; not null
      */
-    public void whenDecided(Consumer<Either<Failure, Permit>> consumer) {
-        decision.thenAccept(consumer);
+    public void whenDecided(Consumer<Either<Failure, Permit>> newConsumer) {
+        Either<Failure, Permit> made;
+        synchronized (this) {
+            made = decision;
+            consumer = newConsumer;
+        }
+        if (made != null) {
+            newConsumer.accept(made);
+        }
     }
 
     /**
@@ -55,22 +74,19 @@
      */
     public Either<Failure, Permit> await(Runnable onInterrupt) {
         boolean interrupted = false;
-        try {
-            while (true) {
-                try {
-                    return decision.get();
-                } catch (InterruptedException e) {
-                    interrupted = true;
-                    onInterrupt.run();
-                } catch (ExecutionException e) {
-                    throw new IllegalStateException("A decision cannot end with an exception", e);
-                }
-            }
-        } finally {
-            if (interrupted) {
-                Thread.currentThread().interrupt();
+        while (true) {
+            try {
+                decided.await(this::isDecided);
+                break;
+            } catch (InterruptedException e) {
+                interrupted = true;
+                onInterrupt.run();
             }
         }
+        if (interrupted) {
+            Thread.currentThread().interrupt();
+        }
+        return decision();
     }
 
     /**
@@ -81,13 +97,14 @@
      * @throws InterruptedException if the thread is interrupted
      */
     public boolean awaitFor(long waitMs) throws InterruptedException {
-        try {
-            decision.get(waitMs, TimeUnit.MILLISECONDS);
-            return true;
-        } catch (TimeoutException e) {
-            return false;
-        } catch (ExecutionException e) {
-            throw new IllegalStateException("A decision cannot end with an exception", e);
-        }
+        return decided.await(this::isDecided, waitMs);
+    }
+
+    private synchronized boolean isDecided() {
+        return decision != null;
+    }
+
+    private synchronized Either<Failure, Permit> decision() {
+        return Objects.requireNonNull(decision, "decision");
     }
 }
--- a/sequoianotch-policy/src/main/java/org/sequoianotch/policy/retry/ProtectiveRetryPolicy.java
+++ b/sequoianotch-policy/src/main/java/org/sequoianotch/policy/retry/ProtectiveRetryPolicy.java
@@ -75,6 +75,7 @@
                     KEY_IN_PROGRESS,
                     KEY_IN_DOUBT,
                     LEDGER_UNREACHABLE,
+                    LEDGER_NOT_READY,
                     RETRIES_EXHAUSTED,
                     DEADLINE_BEFORE_RUN,
                     DEADLINE_IN_DOUBT,
--- a/sequoianotch-proof/src/main/java/org/sequoianotch/proof/quickstart/QuickstartClient.java
+++ b/sequoianotch-proof/src/main/java/org/sequoianotch/proof/quickstart/QuickstartClient.java
@@ -16,6 +16,7 @@
     private static final long READY_POLL_MS = 200;
     private static final int PHOTO_BYTES = 1_048_576;
     private static final int OK = 200;
+    private static final int CREATED = 201;
     /** Key that the settings of the quickstart's nodes give to their operator. */
     private static final String OPERATOR_KEY = "quickstart-operator-key";
 
@@ -48,13 +49,7 @@
 
     private void run() throws IOException, InterruptedException {
         send("Lookup, three calls deep", request("/specdesk/doors/7").GET());
-        String key = client.send(
-                        request("/v1/keys")
-                                .POST(HttpRequest.BodyPublishers.noBody())
-                                .build(),
-                        HttpResponse.BodyHandlers.ofString())
-                .body()
-                .trim();
+        String key = newKey();
         send("Booking", booking(key));
         send("The same booking again, with the same key", booking(key));
         send(
@@ -62,6 +57,23 @@
                 request("/sitephotos/photos/1").PUT(HttpRequest.BodyPublishers.ofByteArray(new byte[PHOTO_BYTES])));
     }
 
+    /** Asks for a key until the ledger hosts have formed their group. */
+    private String newKey() throws IOException, InterruptedException {
+        long endNs = System.nanoTime() + READY_TIMEOUT.toNanos();
+        while (System.nanoTime() < endNs) {
+            HttpResponse<String> response = client.send(
+                    request("/v1/keys")
+                            .POST(HttpRequest.BodyPublishers.noBody())
+                            .build(),
+                    HttpResponse.BodyHandlers.ofString());
+            if (response.statusCode() == CREATED) {
+                return response.body().trim();
+            }
+            Thread.sleep(READY_POLL_MS);
+        }
+        throw new IllegalStateException("No key was given within " + READY_TIMEOUT.toSeconds() + " s");
+    }
+
     private HttpRequest.Builder booking(String key) {
         return request("/jobbook/bookings")
                 .header("Idempotency-Key", key)
