--- a/sequoianotch-control/src/main/java/org/sequoianotch/control/Admission.java
+++ b/sequoianotch-control/src/main/java/org/sequoianotch/control/Admission.java
@@ -23,6 +23,7 @@
 import org.sequoianotch.model.HostId;
 import org.sequoianotch.protocol.Topic;
 import org.sequoianotch.protocol.link.Asker;
+import org.sequoianotch.task.TaskThreads;
 import org.sequoianotch.time.Clock;
 
 /**
@@ -114,7 +115,7 @@
             boolean room = members.members().size() < options.formation().maxVoters()
                     || members.memberOf(newcomer.host()).isPresent();
             if (!known && room && changing.compareAndSet(false, true)) {
-                Thread.ofVirtual().name("control-admission").start(() -> {
+                TaskThreads.start("control-admission", () -> {
                     try {
                         admit(newcomer)
                                 .peek(done -> LOGGER.info("[control] Admitted {}.", newcomer))
--- a/sequoianotch-control/src/main/java/org/sequoianotch/control/ControlGroup.java
+++ b/sequoianotch-control/src/main/java/org/sequoianotch/control/ControlGroup.java
@@ -19,7 +19,9 @@
 import org.sequoianotch.control.group.Role;
 import org.sequoianotch.control.log.DiskFolder;
 import org.sequoianotch.control.log.MemberStore;
+import org.sequoianotch.control.log.OffloadedFolder;
 import org.sequoianotch.control.log.StorageException;
+import org.sequoianotch.control.log.StorageFolder;
 import org.sequoianotch.control.state.AuditRecord;
 import org.sequoianotch.control.state.ChangeRequest;
 import org.sequoianotch.control.state.ChangeResult;
@@ -33,6 +35,7 @@
 import org.sequoianotch.protocol.Topic;
 import org.sequoianotch.protocol.link.AskHandler;
 import org.sequoianotch.protocol.link.Asker;
+import org.sequoianotch.task.TaskThreads;
 import org.sequoianotch.time.Clock;
 
 /**
@@ -43,7 +46,7 @@
  */
 public final class ControlGroup implements AutoCloseable {
     private static final Logger LOGGER = LogManager.getLogger(ControlGroup.class);
-    private static final int TICKS_PER_ELECTION_TIMEOUT = 20;
+    private static final int TICKS_PER_ELECTION_TIMEOUT = 10;
     private static final long RETRY_MS = 50;
     /** Two elections may fail before a member supposes that its group no longer counts it. */
     private static final int LOST_CONTACT_ELECTIONS = 3;
@@ -115,7 +118,8 @@
     }
 
     private Running open() {
-        DiskFolder folder = DiskFolder.open(options.dataFolder());
+        StorageFolder folder =
+                new OffloadedFolder(TaskThreads.callBlocking(() -> DiskFolder.open(options.dataFolder())));
         try {
             MemberStore store = openStore(folder);
             RaftMember raft =
@@ -132,7 +136,7 @@
         }
     }
 
-    private MemberStore openStore(DiskFolder folder) {
+    private MemberStore openStore(StorageFolder folder) {
         String newMemberId = options.host().name() + "." + UUID.randomUUID();
         try {
             return MemberStore.open(folder, newMemberId);
@@ -151,7 +155,7 @@
     }
 
     private void startThread(String name, Loop loop) {
-        threads.add(Thread.ofVirtual().name(name).start(() -> {
+        threads.add(TaskThreads.start(name, () -> {
             try {
                 loop.run();
             } catch (InterruptedException e) {
--- a/sequoianotch-control/src/main/java/org/sequoianotch/control/PeerTasks.java
+++ b/sequoianotch-control/src/main/java/org/sequoianotch/control/PeerTasks.java
@@ -13,16 +13,19 @@
 import org.sequoianotch.error.Failure;
 import org.sequoianotch.protocol.Topic;
 import org.sequoianotch.protocol.link.Asker;
+import org.sequoianotch.task.TaskThreads;
 
 /** One task for each peer, which sends the member's questions and reports their answers. Thread-safe. */
 final class PeerTasks {
     private static final Logger LOGGER = LogManager.getLogger(PeerTasks.class);
 
+    /** Changes of the member end the wait at once; this bounds what a missed one would cost. */
+    private static final long IDLE_WAIT_MS = 1_000;
+
     private final RaftMember member;
     private final Asker asker;
     private final ControlDirectory directory;
     private final long requestTimeoutMs;
-    private final long idleWaitMs;
     private final Map<String, Thread> threads = new ConcurrentHashMap<>();
 
     PeerTasks(RaftMember member, Asker asker, ControlGroupOptions options, ControlDirectory directory) {
@@ -30,7 +33,6 @@
         this.asker = asker;
         this.directory = directory;
         this.requestTimeoutMs = options.settings().requestTimeoutMs();
-        this.idleWaitMs = Math.max(1, options.settings().heartbeatMs() / 2);
     }
 
     /** Starts a task for each peer that has none, and stops those of former peers. */
@@ -43,9 +45,8 @@
                 threads.remove(id);
             }
         });
-        wanted.forEach((id, peer) -> threads.computeIfAbsent(
-                id,
-                key -> Thread.ofVirtual().name("control-peer-" + peer.host()).start(() -> run(peer))));
+        wanted.forEach((id, peer) ->
+                threads.computeIfAbsent(id, key -> TaskThreads.start("control-peer-" + peer.host(), () -> run(peer))));
     }
 
     void close() {
@@ -56,7 +57,7 @@
     private void run(Member peer) {
         try {
             while (!Thread.currentThread().isInterrupted()) {
-                var question = member.awaitNext(peer.id(), idleWaitMs);
+                var question = member.awaitNext(peer.id(), IDLE_WAIT_MS);
                 // The directory wins over the address that was written into the log when the member was admitted.
                 question.ifPresent(
                         outgoing -> send(directory.hosts().getOrDefault(peer.host(), peer.address()), outgoing));
--- a/sequoianotch-control/src/main/java/org/sequoianotch/control/group/GroupSettings.java
+++ b/sequoianotch-control/src/main/java/org/sequoianotch/control/group/GroupSettings.java
@@ -33,7 +33,8 @@
     }
 
     /**
-     * Creates the settings for an election timeout: a heartbeat five times in it, and two lost answers are survived.
+     * Creates the settings for an election timeout: heartbeats at three tenths of it, so that two lost answers are
+     * survived.
      *
      * @param electionTimeoutMs the election timeout, at least 50 ms
      * @return the settings, never null
@@ -41,7 +42,7 @@
     public static GroupSettings of(long electionTimeoutMs) {
         return new GroupSettings(
                 electionTimeoutMs,
-                Math.max(1, electionTimeoutMs / 5),
+                Math.max(1, electionTimeoutMs * 3 / 10),
                 Math.max(1, electionTimeoutMs * 2 / 5),
                 DEFAULT_SNAPSHOT_ENTRIES,
                 DEFAULT_BATCH_BYTES);
--- a/sequoianotch-control/src/main/java/org/sequoianotch/control/group/PeerTable.java
+++ b/sequoianotch-control/src/main/java/org/sequoianotch/control/group/PeerTable.java
@@ -96,6 +96,15 @@
         });
     }
 
+    /** Returns the time until the next heartbeat to a peer; while a question to it is open, that of a heartbeat. */
+    long untilHeartbeatMs(String peerId, double nowMs) {
+        PeerProgress peer = peers.get(peerId);
+        if (peer == null || peer.inFlight) {
+            return settings.heartbeatMs();
+        }
+        return (long) Math.max(1, Math.ceil(peer.sentAtMs + settings.heartbeatMs() - nowMs));
+    }
+
     /** Closes the open question to a peer, and returns the peer if the question was still open. */
     Optional<PeerProgress> close(Outgoing question, boolean answered) {
         PeerProgress peer = peers.get(question.peer().id());
--- a/sequoianotch-control/src/main/java/org/sequoianotch/control/group/RaftMember.java
+++ b/sequoianotch-control/src/main/java/org/sequoianotch/control/group/RaftMember.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Supplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -22,6 +23,7 @@
 import org.sequoianotch.control.log.MemberStore;
 import org.sequoianotch.control.state.ControlError;
 import org.sequoianotch.error.Failure;
+import org.sequoianotch.task.Broadcast;
 import org.sequoianotch.time.Clock;
 
 /**
@@ -43,6 +45,9 @@
     private final Replica replica;
     private final String ownId;
     private final PeerTable peers;
+    /** Raised when there may be something to send or a read may be decided. */
+    private final Broadcast changed = new Broadcast();
+
     private final SnapshotInbox inbox = new SnapshotInbox();
     private final ElectionState election;
     private Role role = Role.FOLLOWER;
@@ -121,7 +126,7 @@
         leader = null;
         election.startRound();
         peers.reset();
-        notifyAll();
+        changed.raise();
         addVote(ownId);
     }
 
@@ -142,7 +147,7 @@
         termStartIndex = replica.append(term(), EntryKind.NO_OP, new byte[0]);
         LOGGER.info("[control] Member {} leads the control group in term {}.", ownId, term());
         commitByMajority();
-        notifyAll();
+        changed.raise();
     }
 
     private void stepDown(long newTerm, String reason) {
@@ -161,7 +166,7 @@
             peers.reset();
             election.postpone();
         }
-        notifyAll();
+        changed.raise();
     }
 
     /**
@@ -262,13 +267,20 @@
      * @return the question, or empty if there was none within the time
      * @throws InterruptedException if the thread is interrupted
      */
-    public synchronized Optional<Outgoing> awaitNext(String peerId, long maxWaitMs) throws InterruptedException {
-        Optional<Outgoing> question = next(peerId);
-        if (question.isEmpty()) {
-            wait(maxWaitMs);
-            question = next(peerId);
-        }
-        return question;
+    public Optional<Outgoing> awaitNext(String peerId, long maxWaitMs) throws InterruptedException {
+        AtomicReference<Optional<Outgoing>> question = new AtomicReference<>(Optional.empty());
+        changed.await(
+                () -> {
+                    question.set(next(peerId));
+                    return question.get().isPresent();
+                },
+                Math.min(maxWaitMs, idleMs(peerId)));
+        return question.get().isPresent() ? question.get() : next(peerId);
+    }
+
+    /** Returns how long nothing is to be sent to a peer unless something changes. */
+    private synchronized long idleMs(String peerId) {
+        return role == Role.LEADER ? peers.untilHeartbeatMs(peerId, clock.monotonicMs()) : Long.MAX_VALUE;
     }
 
     /**
@@ -291,7 +303,7 @@
                 peers.progress(open.get(), question, reply);
                 commitByMajority();
             }
-            notifyAll();
+            changed.raise();
             return true;
         });
     }
@@ -348,7 +360,7 @@
             CompletableFuture<Either<Failure, byte[]>> answer = replica.appendAndAwait(term(), kind, data);
             peers.refresh();
             commitByMajority();
-            notifyAll();
+            changed.raise();
             return answer;
         });
     }
@@ -368,7 +380,7 @@
             return Either.left(notLeading());
         }
         peers.addLearner(learner);
-        notifyAll();
+        changed.raise();
         return Either.right(true);
     }
 
@@ -422,29 +434,36 @@
      * @param timeoutMs longest wait in milliseconds; positive
      * @return the result, or the failure if no majority confirmed it in time
      */
-    public synchronized <T> Either<Failure, T> readConfirmed(Supplier<T> reader, long timeoutMs) {
+    public <T> Either<Failure, T> readConfirmed(Supplier<T> reader, long timeoutMs) {
         double startMs = clock.monotonicMs();
-        long startTerm = term();
-        peers.hurry();
-        notifyAll();
+        long startTerm;
+        synchronized (this) {
+            startTerm = term();
+            peers.hurry();
+        }
+        changed.raise();
         try {
-            while (role == Role.LEADER && term() == startTerm && fault.isEmpty()) {
-                double nowMs = clock.monotonicMs();
-                boolean confirmed =
-                        replica.members().members().size() == 1 || peers.majorityAnsweredAtMs(nowMs) > startMs;
-                if (confirmed && replica.commitIndex() >= termStartIndex) {
-                    return Either.right(reader.get());
-                }
-                double leftMs = startMs + timeoutMs - nowMs;
-                if (leftMs <= 0) {
-                    break;
-                }
-                wait((long) Math.ceil(leftMs));
-            }
+            changed.await(() -> isReadDecided(startMs, startTerm), timeoutMs);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
-        return Either.left(notLeading());
+        synchronized (this) {
+            return isReadConfirmed(startMs, startTerm) ? Either.right(reader.get()) : Either.left(notLeading());
+        }
+    }
+
+    private synchronized boolean isReadDecided(double startMs, long startTerm) {
+        return !leadsSoundly(startTerm) || isReadConfirmed(startMs, startTerm);
+    }
+
+    private boolean leadsSoundly(long inTerm) {
+        return role == Role.LEADER && term() == inTerm && fault.isEmpty();
+    }
+
+    private boolean isReadConfirmed(double startMs, long startTerm) {
+        boolean confirmed =
+                replica.members().members().size() == 1 || peers.majorityAnsweredAtMs(clock.monotonicMs()) > startMs;
+        return leadsSoundly(startTerm) && confirmed && replica.commitIndex() >= termStartIndex;
     }
 
     /**
@@ -480,7 +499,7 @@
         role = Role.FOLLOWER;
         leader = null;
         replica.failPending(reason);
-        notifyAll();
+        changed.raise();
     }
 
     private Failure notLeading() {
--- /dev/null
+++ b/sequoianotch-control/src/main/java/org/sequoianotch/control/log/OffloadedFolder.java
@@ -0,0 +1,64 @@
+package org.sequoianotch.control.log;
+
+import java.util.Optional;
+import org.sequoianotch.task.TaskThreads;
+
+/**
+ * Storage folder whose disk operations do not hold up the other tasks of the process, whatever carries them.
+ *
+ * <p>This class is not thread-safe.
+ */
+public final class OffloadedFolder implements StorageFolder {
+    private final StorageFolder folder;
+
+    /**
+     * Creates a folder.
+     *
+     * @param folder does the work; not null
+     */
+    public OffloadedFolder(StorageFolder folder) {
+        this.folder = folder;
+    }
+
+    @Override
+    public Optional<byte[]> read(String name) {
+        return TaskThreads.callBlocking(() -> folder.read(name));
+    }
+
+    @Override
+    public void replace(String name, byte[] content) {
+        run(() -> folder.replace(name, content));
+    }
+
+    @Override
+    public void append(String name, byte[] content) {
+        run(() -> folder.append(name, content));
+    }
+
+    @Override
+    public void truncate(String name, long lengthBytes) {
+        run(() -> folder.truncate(name, lengthBytes));
+    }
+
+    @Override
+    public void remove(String name) {
+        run(() -> folder.remove(name));
+    }
+
+    @Override
+    public String location() {
+        return folder.location();
+    }
+
+    @Override
+    public void close() {
+        run(folder::close);
+    }
+
+    private static void run(Runnable operation) {
+        TaskThreads.callBlocking(() -> {
+            operation.run();
+            return true;
+        });
+    }
+}
--- a/sequoianotch-core/src/main/java/org/sequoianotch/model/HostId.java
+++ b/sequoianotch-core/src/main/java/org/sequoianotch/model/HostId.java
@@ -1,5 +1,7 @@
 package org.sequoianotch.model;
 
+import org.jspecify.annotations.Nullable;
+
 /**
  * Identifier of a host, unique in the deployment.
  *
@@ -24,6 +26,17 @@
         return new HostId(name);
     }
 
+    // Written out, because the methods that the Java runtime makes for records are slow until they are compiled.
+    @Override
+    public boolean equals(@Nullable Object other) {
+        return this == other || other instanceof HostId that && name.equals(that.name);
+    }
+
+    @Override
+    public int hashCode() {
+        return name.hashCode();
+    }
+
     @Override
     public int compareTo(HostId other) {
         return name.compareTo(other.name);
--- a/sequoianotch-core/src/main/java/org/sequoianotch/model/OrganisationName.java
+++ b/sequoianotch-core/src/main/java/org/sequoianotch/model/OrganisationName.java
@@ -1,5 +1,7 @@
 package org.sequoianotch.model;
 
+import org.jspecify.annotations.Nullable;
+
 /**
  * Name of an organisation that runs services on the deployment.
  *
@@ -24,6 +26,17 @@
         return new OrganisationName(name);
     }
 
+    // Written out, because the methods that the Java runtime makes for records are slow until they are compiled.
+    @Override
+    public boolean equals(@Nullable Object other) {
+        return this == other || other instanceof OrganisationName that && name.equals(that.name);
+    }
+
+    @Override
+    public int hashCode() {
+        return name.hashCode();
+    }
+
     @Override
     public int compareTo(OrganisationName other) {
         return name.compareTo(other.name);
--- a/sequoianotch-core/src/main/java/org/sequoianotch/model/Region.java
+++ b/sequoianotch-core/src/main/java/org/sequoianotch/model/Region.java
@@ -1,5 +1,7 @@
 package org.sequoianotch.model;
 
+import org.jspecify.annotations.Nullable;
+
 /**
  * Name of a region, which holds one or more data centres.
  *
@@ -24,6 +26,17 @@
         return new Region(name);
     }
 
+    // Written out, because the methods that the Java runtime makes for records are slow until they are compiled.
+    @Override
+    public boolean equals(@Nullable Object other) {
+        return this == other || other instanceof Region that && name.equals(that.name);
+    }
+
+    @Override
+    public int hashCode() {
+        return name.hashCode();
+    }
+
     @Override
     public int compareTo(Region other) {
         return name.compareTo(other.name);
--- a/sequoianotch-core/src/main/java/org/sequoianotch/model/RequestId.java
+++ b/sequoianotch-core/src/main/java/org/sequoianotch/model/RequestId.java
@@ -3,6 +3,7 @@
 import java.util.HexFormat;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Identifier of one request and of its whole call chain. It equals the W3C trace id.
@@ -51,6 +52,17 @@
         }
     }
 
+    // Written out, because the methods that the Java runtime makes for records are slow until they are compiled.
+    @Override
+    public boolean equals(@Nullable Object other) {
+        return this == other || other instanceof RequestId that && high == that.high && low == that.low;
+    }
+
+    @Override
+    public int hashCode() {
+        return Long.hashCode(high ^ low);
+    }
+
     @Override
     public String toString() {
         return HexFormat.of().toHexDigits(high) + HexFormat.of().toHexDigits(low);
--- /dev/null
+++ b/sequoianotch-core/src/main/java/org/sequoianotch/task/Broadcast.java
@@ -0,0 +1,43 @@
+package org.sequoianotch.task;
+
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.BooleanSupplier;
+
+/**
+ * A {@link Signal} for any number of waiting tasks.
+ *
+ * <p>This class is thread-safe.
+ */
+public final class Broadcast {
+    private final List<Signal> waiting = new CopyOnWriteArrayList<>();
+
+    /** Creates a broadcast for which nobody waits. */
+    public Broadcast() {}
+
+    /**
+     * Waits until a condition holds or the time has passed.
+     *
+     * @param condition checked before the wait and each time the broadcast is raised; must not block; not null
+     * @param timeoutMs longest wait in milliseconds; {@link Long#MAX_VALUE} for no limit
+     * @return whether the condition holds
+     * @throws InterruptedException if the thread is interrupted while waiting
+     */
+    public boolean await(BooleanSupplier condition, long timeoutMs) throws InterruptedException {
+        if (condition.getAsBoolean()) {
+            return true;
+        }
+        Signal signal = new Signal();
+        waiting.add(signal);
+        try {
+            return signal.await(condition, timeoutMs);
+        } finally {
+            waiting.remove(signal);
+        }
+    }
+
+    /** Makes every waiting task check its condition. */
+    public void raise() {
+        waiting.forEach(Signal::raise);
+    }
+}
--- /dev/null
+++ b/sequoianotch-core/src/main/java/org/sequoianotch/task/DeadlineWheel.java
@@ -0,0 +1,200 @@
+package org.sequoianotch.task;
+
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Runs actions at deadlines that are mostly cancelled before they pass, such as those of requests.
+ *
+ * <p>Adding and cancelling take constant time and wake no thread. The executor is asked for one wake-up at a time, for
+ * the earliest deadline. Actions run late by up to two ticks, and by up to {@link #SLACK_MS} after delays of 100 ms
+ * and more.
+ *
+ * <p>This class is thread-safe. Actions run on the executor and must not block.
+ */
+public final class DeadlineWheel {
+    /** Precision of deadlines; the shortest limits of the deployments are some hundred milliseconds. */
+    public static final long TICK_MS = 10;
+
+    /** Longest delay beyond the deadline, but for a busy executor. */
+    public static final long SLACK_MS = 60;
+
+    private static final long TICK_NS = TimeUnit.MILLISECONDS.toNanos(TICK_MS);
+
+    /** Delays from 100 ms on are rounded up to a grid of 50 ms, so that one wake-up serves many of them. */
+    private static final long COARSE_FROM_TICKS = 10;
+
+    private static final long COARSE_TICKS = 5;
+
+    /** Covers 10 s in one turn, more than nearly all deadlines; later ones stay for further turns. */
+    private static final int SLOTS = 1_024;
+
+    private final ScheduledExecutorService executor;
+    private final LongSupplier nanoClock;
+    private final long startNs;
+    private final Entry[] slots = new Entry[SLOTS];
+    private int size;
+    /** All ticks up to this one have been run. */
+    private long lastTick;
+    /** Tick of the wake-up that the executor was asked for; {@link Long#MAX_VALUE} if there is none. */
+    private long armedTick = Long.MAX_VALUE;
+
+    /**
+     * Creates an empty wheel.
+     *
+     * @param executor runs the actions; not null
+     */
+    public DeadlineWheel(ScheduledExecutorService executor) {
+        this(executor, System::nanoTime);
+    }
+
+    DeadlineWheel(ScheduledExecutorService executor, LongSupplier nanoClock) {
+        this.executor = executor;
+        this.nanoClock = nanoClock;
+        this.startNs = nanoClock.getAsLong();
+        for (int slot = 0; slot < SLOTS; slot++) {
+            slots[slot] = new Entry(this, null, 0);
+        }
+    }
+
+    /** An action that waits for its deadline, in the ring of its slot. */
+    public static final class Entry {
+        private final DeadlineWheel wheel;
+        private final @Nullable Runnable action;
+        private final long tick;
+        private Entry previous = this;
+        private Entry next = this;
+
+        private Entry(DeadlineWheel wheel, @Nullable Runnable action, long tick) {
+            this.wheel = wheel;
+            this.action = action;
+            this.tick = tick;
+        }
+
+        /**
+         * Removes the action.
+         *
+         * @return true if it will not run, false if it has run or was removed already
+         */
+        public boolean cancel() {
+            synchronized (wheel) {
+                return wheel.unlink(this);
+            }
+        }
+
+        private void insertBefore(Entry other) {
+            previous = other.previous;
+            next = other;
+            previous.next = this;
+            other.previous = this;
+        }
+    }
+
+    /**
+     * Adds an action.
+     *
+     * @param delayNs time until it runs, in nanoseconds; zero and less stand for the next tick
+     * @param action the action; not null
+     * @return the entry, by which it can be cancelled; never null
+     */
+    public synchronized Entry add(long delayNs, Runnable action) {
+        long nowTick = nowTick();
+        if (size == 0) {
+            lastTick = Math.max(lastTick, nowTick);
+        }
+        long delayTicks = (Math.max(0, delayNs) + TICK_NS - 1) / TICK_NS;
+        long tick = Math.max(lastTick, nowTick + delayTicks) + 1;
+        if (delayTicks >= COARSE_FROM_TICKS) {
+            tick = (tick + COARSE_TICKS - 1) / COARSE_TICKS * COARSE_TICKS;
+        }
+        Entry entry = new Entry(this, action, tick);
+        entry.insertBefore(slotOf(entry.tick));
+        size++;
+        if (entry.tick < armedTick) {
+            arm(entry.tick);
+        }
+        return entry;
+    }
+
+    private Entry slotOf(long tick) {
+        return slots[(int) (tick & SLOTS - 1)];
+    }
+
+    private long nowTick() {
+        return (nanoClock.getAsLong() - startNs) / TICK_NS;
+    }
+
+    private boolean unlink(Entry entry) {
+        if (entry.next == entry) {
+            return false;
+        }
+        entry.previous.next = entry.next;
+        entry.next.previous = entry.previous;
+        entry.previous = entry;
+        entry.next = entry;
+        size--;
+        return true;
+    }
+
+    private void arm(long tick) {
+        armedTick = tick;
+        long delayNs = startNs + tick * TICK_NS - nanoClock.getAsLong();
+        executor.schedule(() -> runDue(tick), Math.max(0, delayNs), TimeUnit.NANOSECONDS);
+    }
+
+    private void runDue(long forTick) {
+        Entry due = new Entry(this, null, 0);
+        synchronized (this) {
+            collectDue(due);
+            if (armedTick == forTick) {
+                armedTick = Long.MAX_VALUE;
+                armNext();
+            }
+        }
+        while (true) {
+            Entry entry;
+            synchronized (this) {
+                entry = due.next;
+                if (entry == due) {
+                    return;
+                }
+                unlink(entry);
+            }
+            entry.action.run();
+        }
+    }
+
+    /** Moves the entries whose tick has come into a ring of their own, from which they can still be cancelled. */
+    private void collectDue(Entry due) {
+        long nowTick = nowTick();
+        long turns = Math.min(nowTick - lastTick, SLOTS);
+        for (long tick = nowTick - turns + 1; tick <= nowTick; tick++) {
+            Entry slot = slotOf(tick);
+            for (Entry entry = slot.next; entry != slot; ) {
+                Entry following = entry.next;
+                if (entry.tick <= nowTick) {
+                    unlink(entry);
+                    entry.insertBefore(due);
+                    size++;
+                }
+                entry = following;
+            }
+        }
+        lastTick = Math.max(lastTick, nowTick);
+    }
+
+    private void armNext() {
+        if (size == 0) {
+            return;
+        }
+        for (long tick = lastTick + 1; tick <= lastTick + SLOTS; tick++) {
+            Entry slot = slotOf(tick);
+            if (slot.next != slot) {
+                arm(tick);
+                return;
+            }
+        }
+    }
+}
--- a/sequoianotch-core/src/main/java/org/sequoianotch/task/TaskThreads.java
+++ b/sequoianotch-core/src/main/java/org/sequoianotch/task/TaskThreads.java
@@ -1,8 +1,15 @@
 package org.sequoianotch.task;
 
+import io.vavr.control.Either;
 import java.lang.reflect.InvocationTargetException;
 import java.lang.reflect.Method;
+import java.util.Optional;
 import java.util.concurrent.Executor;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.Supplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.jspecify.annotations.Nullable;
@@ -22,7 +29,8 @@
     private TaskThreads() {}
 
     /** Creates virtual threads that an executor carries. The Java platform has no public way to do so yet. */
-    private record Carrier(Executor executor, Method factory) {
+    private record Carrier(
+            ScheduledExecutorService executor, Method factory, DeadlineWheel deadlines, Executor blocking) {
         Thread newThread(String name, Runnable task) throws ReflectiveOperationException {
             return (Thread) factory.invoke(null, executor, name, 0, task);
         }
@@ -30,18 +38,19 @@
 
     /**
      * Lets an executor carry all tasks that are started from now on. It must run what it is given on one platform
-     * thread, which the tasks must not block other than by parking; tasks that sync files must not be carried so. If
-     * the Java runtime does not allow it, tasks are carried as before.
+     * thread, which the tasks must not block other than by parking or by {@link #callBlocking}. If the Java
+     * runtime does not allow it, tasks are carried as before.
      *
      * @param executor the executor; not null
+     * @param deadlines ends the waits of these tasks; not null
      * @return true if the executor carries tasks now
      */
-    public static boolean carryOn(Executor executor) {
+    public static boolean carryOn(ScheduledExecutorService executor, DeadlineWheel deadlines) {
         try {
             Method factory = Class.forName("java.lang.ThreadBuilders")
                     .getDeclaredMethod("newVirtualThread", Executor.class, String.class, int.class, Runnable.class);
             factory.setAccessible(true);
-            carrier = new Carrier(executor, factory);
+            carrier = new Carrier(executor, factory, deadlines, newBlockingThread());
             return true;
         } catch (ReflectiveOperationException | RuntimeException e) {
             LOG.warn("[node] The Java runtime carries the tasks on threads of its own: {}", e.toString());
@@ -49,6 +58,11 @@
         }
     }
 
+    private static Executor newBlockingThread() {
+        return Executors.newSingleThreadExecutor(
+                Thread.ofPlatform().daemon(true).name("blocking").factory());
+    }
+
     /**
      * Starts a task.
      *
@@ -71,4 +85,85 @@
             throw new IllegalStateException("a virtual thread cannot be created", e);
         }
     }
+
+    /**
+     * Parks the current thread until it is unparked, interrupted or the time has passed. The Java runtime ends the
+     * waits of virtual threads from a thread of its own, which costs a carried task two switches between threads.
+     *
+     * @param durationNs longest wait in nanoseconds
+     */
+    public static void park(long durationNs) {
+        Carrier present = carrier;
+        if (present == null || !Thread.currentThread().isVirtual()) {
+            LockSupport.parkNanos(durationNs);
+            return;
+        }
+        Thread thread = Thread.currentThread();
+        DeadlineWheel.Entry end = present.deadlines().add(durationNs, () -> LockSupport.unpark(thread));
+        try {
+            LockSupport.park();
+        } finally {
+            end.cancel();
+        }
+    }
+
+    /**
+     * Waits for a time.
+     *
+     * @param durationMs the time in milliseconds; zero and less stand for no wait
+     * @throws InterruptedException if the thread is interrupted while waiting
+     */
+    public static void sleep(long durationMs) throws InterruptedException {
+        long endNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(durationMs);
+        long leftNs = endNs - System.nanoTime();
+        while (leftNs > 0) {
+            park(leftNs);
+            if (Thread.interrupted()) {
+                throw new InterruptedException("interrupted while sleeping");
+            }
+            leftNs = endNs - System.nanoTime();
+        }
+    }
+
+    /**
+     * Runs an action that blocks its thread, such as the sync of a file. If an executor carries the current task, the
+     * action runs on a thread for such actions, one after the other, so that the other tasks go on meanwhile.
+     *
+     * @param <T> type of the result
+     * @param action the action; not null
+     * @return its result
+     */
+    public static <T> T callBlocking(Supplier<T> action) {
+        Carrier present = carrier;
+        if (present == null || !Thread.currentThread().isVirtual()) {
+            return action.get();
+        }
+        OneShot<Either<RuntimeException, Optional<T>>> result = new OneShot<>();
+        present.blocking().execute(() -> result.set(outcomeOf(action)));
+        return await(result).getOrElseThrow(failure -> failure).orElse(null);
+    }
+
+    private static <T> Either<RuntimeException, Optional<T>> outcomeOf(Supplier<T> action) {
+        try {
+            return Either.right(Optional.ofNullable(action.get()));
+        } catch (RuntimeException e) {
+            return Either.left(e);
+        }
+    }
+
+    /** An interrupt does not end the wait: what the action does is not undone by leaving it. */
+    private static <T> T await(OneShot<T> result) {
+        boolean interrupted = false;
+        while (true) {
+            try {
+                Optional<T> value = result.await(Long.MAX_VALUE);
+                if (interrupted) {
+                    Thread.currentThread().interrupt();
+                }
+                return value.orElseThrow();
+            } catch (InterruptedException e) {
+                interrupted = true;
+            }
+        }
+    }
 }
--- a/sequoianotch-core/src/main/java/org/sequoianotch/time/SystemClock.java
+++ b/sequoianotch-core/src/main/java/org/sequoianotch/time/SystemClock.java
@@ -1,5 +1,7 @@
 package org.sequoianotch.time;
 
+import org.sequoianotch.task.TaskThreads;
+
 /**
  * Clock of the host.
  *
@@ -25,8 +27,6 @@
 
     @Override
     public void sleep(long durationMs) throws InterruptedException {
-        if (durationMs > 0) {
-            Thread.sleep(durationMs);
-        }
+        TaskThreads.sleep(durationMs);
     }
 }
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/Node.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/Node.java
@@ -35,6 +35,7 @@
 import org.sequoianotch.protocol.link.Transport;
 import org.sequoianotch.settings.NodeSetting;
 import org.sequoianotch.settings.NodeSettings;
+import org.sequoianotch.task.TaskThreads;
 import org.sequoianotch.template.ServiceRule;
 import org.sequoianotch.template.TemplateSet;
 import org.sequoianotch.time.Clock;
@@ -212,7 +213,7 @@
             while (!stopped) {
                 instances.expire();
                 links.closeIdleLinks(IDLE_LINK_MS);
-                Thread.sleep(LEASE_CHECK_MS);
+                TaskThreads.sleep(LEASE_CHECK_MS);
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
@@ -250,7 +251,7 @@
             if (clock.monotonicMs() > deadlineMs) {
                 return false;
             }
-            Thread.sleep(OPEN_CALLS_POLL_MS);
+            TaskThreads.sleep(OPEN_CALLS_POLL_MS);
         }
         return true;
     }
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/BodyPipe.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/BodyPipe.java
@@ -3,96 +3,95 @@
 import io.vavr.control.Either;
 import java.util.ArrayDeque;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.locks.Condition;
-import java.util.concurrent.locks.ReentrantLock;
 import org.jspecify.annotations.Nullable;
 import org.sequoianotch.error.ErrorKind;
 import org.sequoianotch.error.Failure;
+import org.sequoianotch.task.Signal;
 
-/** One direction of a call between two threads of this node, bounded like the window of a link. */
+/**
+ * One direction of a call between two tasks of this node, bounded like the window of a link. One task writes and one
+ * reads.
+ */
 final class BodyPipe {
     private static final int CAPACITY_BYTES = 65_536;
 
-    private final ReentrantLock lock = new ReentrantLock();
-    private final Condition changed = lock.newCondition();
+    private final Signal roomMade = new Signal();
+    private final Signal partAdded = new Signal();
     private final ArrayDeque<byte[]> parts = new ArrayDeque<>();
     private int waitingBytes;
     private boolean ended;
     private @Nullable Failure failure;
 
     Either<Failure, Void> write(byte[] bytes) {
-        lock.lock();
         try {
-            while (waitingBytes >= CAPACITY_BYTES && failure == null) {
-                changed.await();
-            }
+            roomMade.await(this::hasRoomOrFailed);
+        } catch (InterruptedException e) {
+            return interrupted();
+        }
+        synchronized (this) {
             if (failure != null) {
                 return Either.left(failure);
             }
             parts.add(bytes);
             waitingBytes += bytes.length;
-            changed.signalAll();
-            return Either.right(null);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-            return Either.left(Failure.of(ErrorKind.CALLER_GONE, "The thread was interrupted."));
-        } finally {
-            lock.unlock();
         }
+        partAdded.raise();
+        return Either.right(null);
+    }
+
+    private synchronized boolean hasRoomOrFailed() {
+        return waitingBytes < CAPACITY_BYTES || failure != null;
     }
 
     Either<Failure, Void> end() {
-        lock.lock();
-        try {
+        synchronized (this) {
             if (failure != null) {
                 return Either.left(failure);
             }
             ended = true;
-            changed.signalAll();
-            return Either.right(null);
-        } finally {
-            lock.unlock();
         }
+        partAdded.raise();
+        return Either.right(null);
     }
 
     void fail(Failure cause) {
-        lock.lock();
-        try {
+        synchronized (this) {
             if (failure == null) {
                 failure = cause;
             }
-            changed.signalAll();
-        } finally {
-            lock.unlock();
         }
+        partAdded.raise();
+        roomMade.raise();
     }
 
     Either<Failure, Optional<byte[]>> read(long timeoutMs) {
-        lock.lock();
         try {
-            long leftNs = TimeUnit.MILLISECONDS.toNanos(timeoutMs);
-            while (parts.isEmpty() && !ended && failure == null) {
-                if (leftNs <= 0) {
-                    return Either.left(Failure.of(ErrorKind.DEADLINE_IN_DOUBT, "Nothing came within the time left."));
-                }
-                leftNs = changed.awaitNanos(leftNs);
+            if (!partAdded.await(this::canRead, timeoutMs)) {
+                return Either.left(Failure.of(ErrorKind.DEADLINE_IN_DOUBT, "Nothing came within the time left."));
             }
+        } catch (InterruptedException e) {
+            return interrupted();
+        }
+        byte @Nullable [] part;
+        synchronized (this) {
             if (failure != null) {
                 return Either.left(failure);
             }
-            if (parts.isEmpty()) {
-                return Either.right(Optional.empty());
+            part = parts.poll();
+            if (part != null) {
+                waitingBytes -= part.length;
             }
-            byte[] part = parts.remove();
-            waitingBytes -= part.length;
-            changed.signalAll();
-            return Either.right(Optional.of(part));
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-            return Either.left(Failure.of(ErrorKind.CALLER_GONE, "The thread was interrupted."));
-        } finally {
-            lock.unlock();
         }
+        roomMade.raise();
+        return Either.right(Optional.ofNullable(part));
+    }
+
+    private synchronized boolean canRead() {
+        return !parts.isEmpty() || ended || failure != null;
+    }
+
+    private static <T> Either<Failure, T> interrupted() {
+        Thread.currentThread().interrupt();
+        return Either.left(Failure.of(ErrorKind.CALLER_GONE, "The thread was interrupted."));
     }
 }
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/LocalCall.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/LocalCall.java
@@ -4,10 +4,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ExecutionException;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
 import org.jspecify.annotations.Nullable;
 import org.sequoianotch.error.ErrorKind;
 import org.sequoianotch.error.Failure;
@@ -18,6 +14,7 @@
 import org.sequoianotch.protocol.link.CallHandler;
 import org.sequoianotch.protocol.link.IncomingCall;
 import org.sequoianotch.protocol.link.PeerCall;
+import org.sequoianotch.task.OneShot;
 import org.sequoianotch.task.TaskThreads;
 
 /**
@@ -25,11 +22,9 @@
  * side runs the same code for local and remote calls.
  */
 final class LocalCall implements PeerCall {
-    private static final long NO_TIMEOUT_MS = Long.MAX_VALUE / 2_000_000;
-
     private final BodyPipe request = new BodyPipe();
     private final BodyPipe answer = new BodyPipe();
-    private final CompletableFuture<Either<Failure, AnswerHeader>> head = new CompletableFuture<>();
+    private final OneShot<Either<Failure, AnswerHeader>> head = new OneShot<>();
     private final List<Runnable> cancelActions = new ArrayList<>();
     private volatile @Nullable AnswerTrailer trailer;
     private boolean cancelled;
@@ -56,11 +51,9 @@
     @Override
     public Either<Failure, AnswerHeader> awaitAnswer(long timeoutMs) {
         try {
-            return head.get(timeoutMs, TimeUnit.MILLISECONDS);
-        } catch (TimeoutException e) {
-            return Either.left(Failure.of(ErrorKind.DEADLINE_IN_DOUBT, "No answer came within " + timeoutMs + " ms."));
-        } catch (ExecutionException e) {
-            return Either.left(Failure.of(ErrorKind.INTERNAL, String.valueOf(e.getCause())));
+            return head.await(timeoutMs)
+                    .orElseGet(() -> Either.left(
+                            Failure.of(ErrorKind.DEADLINE_IN_DOUBT, "No answer came within " + timeoutMs + " ms.")));
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             return Either.left(Failure.of(ErrorKind.CALLER_GONE, "The thread was interrupted."));
@@ -88,7 +81,7 @@
         Failure failure = Failure.of(ErrorKind.CALLER_GONE, reason);
         request.fail(failure);
         answer.fail(failure);
-        head.complete(Either.left(failure));
+        head.set(Either.left(failure));
         actions.forEach(Runnable::run);
     }
 
@@ -114,12 +107,12 @@
 
         @Override
         public Either<Failure, Optional<byte[]>> readBody() {
-            return request.read(NO_TIMEOUT_MS);
+            return request.read(Long.MAX_VALUE);
         }
 
         @Override
         public Either<Failure, Void> answer(AnswerHeader answerHeader) {
-            head.complete(Either.right(answerHeader));
+            head.set(Either.right(answerHeader));
             // Whoever answers reads no more of the request; the sending end must not wait for room.
             request.fail(Failure.of(ErrorKind.CONNECTION_LOST, "The call was answered before its body was read."));
             return Either.right(null);
@@ -141,7 +134,7 @@
             trailer = answerTrailer;
             request.fail(failure);
             answer.fail(failure);
-            head.complete(Either.left(failure));
+            head.set(Either.left(failure));
         }
 
         @Override
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/explain/JournalChain.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/explain/JournalChain.java
@@ -1,6 +1,5 @@
 package org.sequoianotch.daemon.explain;
 
-import java.util.List;
 import java.util.function.Supplier;
 import org.sequoianotch.model.RequestId;
 
@@ -10,9 +9,9 @@
  * <p>This class is thread-safe, as the journals are.
  */
 public final class JournalChain implements Journal {
-    private final List<Journal> journals;
+    private final Journal[] journals;
 
-    private JournalChain(List<Journal> journals) {
+    private JournalChain(Journal[] journals) {
         this.journals = journals;
     }
 
@@ -23,21 +22,27 @@
      * @return the chain, never null
      */
     public static JournalChain of(Journal... journals) {
-        return new JournalChain(List.of(journals));
+        return new JournalChain(journals.clone());
     }
 
     @Override
     public void record(RequestId requestId, EventKind kind, String sentence) {
-        journals.forEach(journal -> journal.record(requestId, kind, sentence));
+        for (Journal journal : journals) {
+            journal.record(requestId, kind, sentence);
+        }
     }
 
     @Override
     public void record(RequestId requestId, EventKind kind, Supplier<String> sentence) {
-        journals.forEach(journal -> journal.record(requestId, kind, sentence));
+        for (Journal journal : journals) {
+            journal.record(requestId, kind, sentence);
+        }
     }
 
     @Override
     public void finish(RequestSummary summary) {
-        journals.forEach(journal -> journal.finish(summary));
+        for (Journal journal : journals) {
+            journal.finish(summary);
+        }
     }
 }
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/BackendClient.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/BackendClient.java
@@ -8,7 +8,6 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.vavr.control.Either;
 import java.net.InetSocketAddress;
@@ -16,6 +15,7 @@
 import org.jspecify.annotations.Nullable;
 import org.sequoianotch.error.ErrorKind;
 import org.sequoianotch.error.Failure;
+import org.sequoianotch.protocol.link.Transport;
 import org.sequoianotch.time.Clock;
 
 /**
@@ -67,10 +67,7 @@
         this.address = address;
         this.acceptsUnmarkedEnd = acceptsUnmarkedEnd;
         this.clock = clock;
-        this.bootstrap = new Bootstrap()
-                .group(eventLoops)
-                .channel(NioSocketChannel.class)
-                .option(ChannelOption.TCP_NODELAY, true)
+        this.bootstrap = Transport.connection(eventLoops)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMs)
                 .option(
                         ChannelOption.WRITE_BUFFER_WATER_MARK,
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/ChannelWriter.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/ChannelWriter.java
@@ -1,32 +1,25 @@
 package org.sequoianotch.daemon.http;
 
+import io.netty.buffer.ByteBufHolder;
 import io.netty.channel.Channel;
 import io.netty.util.ReferenceCountUtil;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.locks.Condition;
-import java.util.concurrent.locks.ReentrantLock;
+import org.sequoianotch.protocol.link.WriteBatch;
+import org.sequoianotch.task.Signal;
 
-/**
- * Writes to a channel from a thread that may block, waiting while the channel's buffer is full. This class is
- * thread-safe.
- */
+/** Writes to a channel from the connection's task, which waits while the channel's buffer is full. */
 final class ChannelWriter {
     private final Channel channel;
-    private final ReentrantLock lock = new ReentrantLock();
-    private final Condition writable = lock.newCondition();
+    private final Signal writable = new Signal();
+    private final WriteBatch batch;
 
     ChannelWriter(Channel channel) {
         this.channel = channel;
+        this.batch = new WriteBatch(channel, writable::raise);
     }
 
     /** Called by the event loop when the channel became writable or was closed. */
     void signal() {
-        lock.lock();
-        try {
-            writable.signalAll();
-        } finally {
-            lock.unlock();
-        }
+        writable.raise();
     }
 
     /** Writes and flushes a message; false if the channel is closed or stayed full for the whole timeout. */
@@ -35,26 +28,18 @@
             ReferenceCountUtil.release(message);
             return false;
         }
-        channel.writeAndFlush(message);
+        batch.add(
+                message,
+                message instanceof ByteBufHolder holder ? holder.content().readableBytes() : 0);
         return true;
     }
 
     boolean awaitWritable(long timeoutMs) throws InterruptedException {
-        if (channel.isWritable()) {
-            return true;
-        }
-        long leftNs = TimeUnit.MILLISECONDS.toNanos(timeoutMs);
-        lock.lock();
-        try {
-            while (!channel.isWritable()) {
-                if (!channel.isActive() || leftNs <= 0) {
-                    return false;
-                }
-                leftNs = writable.awaitNanos(leftNs);
-            }
-            return true;
-        } finally {
-            lock.unlock();
-        }
+        // The room is not looked at again: it shrinks while the event loop moves a batch into the channel's buffer.
+        return writable.await(() -> hasRoom() || !channel.isActive(), timeoutMs) && channel.isActive();
+    }
+
+    private boolean hasRoom() {
+        return channel.isWritable() && batch.pendingBytes() < InboundQueue.HIGH_WATER_BYTES;
     }
 }
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/HeaderFields.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/HeaderFields.java
@@ -1,10 +1,13 @@
 package org.sequoianotch.daemon.http;
 
 import io.netty.handler.codec.http.HttpHeaders;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import org.sequoianotch.protocol.HeaderField;
 
 /** Queries over header fields, and the fields that are never passed on. This class is stateless. */
@@ -26,6 +29,10 @@
             "content-length",
             "host");
     private static final Set<String> CONTEXT = Set.of("traceparent", "tracestate");
+    /** Callers and backend servers send a few dozen names; the bound keeps hostile ones from filling the memory. */
+    private static final int MAX_REMEMBERED_NAMES = 256;
+
+    private static final Map<String, Boolean> END_TO_END = new ConcurrentHashMap<>();
     private static final int NO_CONTENT = 204;
     private static final int NOT_MODIFIED = 304;
 
@@ -55,10 +62,28 @@
      * @return the fields to pass on, never null
      */
     public static List<HeaderField> endToEnd(List<HeaderField> fields) {
-        return fields.stream().filter(field -> isEndToEnd(field.name())).toList();
+        List<HeaderField> passed = new ArrayList<>(fields.size());
+        for (HeaderField field : fields) {
+            if (isEndToEnd(field.name())) {
+                passed.add(field);
+            }
+        }
+        return passed;
     }
 
     private static boolean isEndToEnd(String name) {
+        Boolean known = END_TO_END.get(name);
+        if (known != null) {
+            return known;
+        }
+        boolean endToEnd = findEndToEnd(name);
+        if (END_TO_END.size() < MAX_REMEMBERED_NAMES) {
+            END_TO_END.put(name, endToEnd);
+        }
+        return endToEnd;
+    }
+
+    private static boolean findEndToEnd(String name) {
         String lower = name.toLowerCase(Locale.ROOT);
         return !HOP_BY_HOP.contains(lower) && !CONTEXT.contains(lower) && !lower.startsWith(OWN_PREFIX);
     }
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/HttpListener.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/HttpListener.java
@@ -7,13 +7,13 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpServerCodec;
 import java.net.InetSocketAddress;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.sequoianotch.protocol.link.Transport;
 import org.sequoianotch.task.TaskThreads;
 
 /**
@@ -41,12 +41,9 @@
             throws InterruptedException {
         this.options = options;
         this.handler = handler;
-        ServerBootstrap bootstrap = new ServerBootstrap()
-                .group(eventLoops)
-                .channel(NioServerSocketChannel.class)
+        ServerBootstrap bootstrap = Transport.listener(eventLoops)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
-                .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(
                         ChannelOption.WRITE_BUFFER_WATER_MARK,
                         new WriteBufferWaterMark(WRITE_LOW_WATER_BYTES, WRITE_HIGH_WATER_BYTES))
@@ -95,7 +92,7 @@
         connections.forEach(ServerConnection::closeWhenIdle);
         long deadlineNs = System.nanoTime() + timeoutMs * 1_000_000;
         while (isServing() && System.nanoTime() < deadlineNs) {
-            Thread.sleep(STOP_POLL_MS);
+            TaskThreads.sleep(STOP_POLL_MS);
         }
         boolean finished = !isServing();
         connections.forEach(ServerConnection::close);
@@ -125,6 +122,6 @@
         channel.pipeline()
                 .addLast(new HttpServerCodec(MAX_INITIAL_LINE_BYTES, options.maxHeaderBytes(), MAX_CHUNK_BYTES))
                 .addLast(new PartReader(connection.queue(), connection.writer(), connection::onClosed));
-        TaskThreads.start(options.name() + "-" + channel.id().asShortText(), connection);
+        TaskThreads.start(options.name(), connection);
     }
 }
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/metrics/NodeMetrics.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/metrics/NodeMetrics.java
@@ -1,6 +1,7 @@
 package org.sequoianotch.daemon.metrics;
 
 import io.prometheus.metrics.core.datapoints.CounterDataPoint;
+import io.prometheus.metrics.core.datapoints.DistributionDataPoint;
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.CounterWithCallback;
 import io.prometheus.metrics.core.metrics.GaugeWithCallback;
@@ -13,15 +14,18 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Objects;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.DoubleSupplier;
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
+import org.jspecify.annotations.Nullable;
 import org.sequoianotch.daemon.explain.EventKind;
 import org.sequoianotch.daemon.explain.Journal;
 import org.sequoianotch.daemon.explain.RequestSummary;
 import org.sequoianotch.error.ErrorKind;
 import org.sequoianotch.error.Outcome;
+import org.sequoianotch.model.Criticality;
 import org.sequoianotch.model.RequestId;
 import org.sequoianotch.model.ServiceName;
 import org.sequoianotch.template.TemplateSet;
@@ -53,6 +57,25 @@
     private final Counter retries;
     private final Counter refusals;
     private final Map<EventKind, CounterDataPoint> eventCounts = new EnumMap<>(EventKind.class);
+    private final Map<Series, CounterDataPoint> requestCounts = new ConcurrentHashMap<>();
+    private final Map<String, DistributionDataPoint> latencies = new ConcurrentHashMap<>();
+    private final Map<String, CounterDataPoint> attemptCounts = new ConcurrentHashMap<>();
+
+    /** Labels of a count of requests. Looking a data point up by its labels costs more than the count itself. */
+    private record Series(String service, Criticality criticality, @Nullable ErrorKind error) {
+        @Override
+        public boolean equals(@Nullable Object other) {
+            return other instanceof Series that
+                    && service.equals(that.service)
+                    && criticality == that.criticality
+                    && error == that.error;
+        }
+
+        @Override
+        public int hashCode() {
+            return 31 * (31 * service.hashCode() + criticality.hashCode()) + (error == null ? 0 : error.hashCode());
+        }
+    }
 
     /**
      * Creates metrics that stand at zero.
@@ -78,6 +101,7 @@
                 .name("sequoianotch_requests_total")
                 .help("Requests from callers that ended at this entry node.")
                 .labelNames("service", "criticality", "outcome", "error")
+                .withoutExemplars()
                 .register(registry);
         latency = Histogram.builder()
                 .name("sequoianotch_request_duration_seconds")
@@ -85,6 +109,7 @@
                 .labelNames("service")
                 .classicOnly()
                 .classicUpperBounds(LATENCY_BOUNDS_S)
+                .withoutExemplars()
                 .register(registry);
         attempts = counter("sequoianotch_attempts_total", "Attempts that this entry node made for requests.");
         retries = counter("sequoianotch_retries_total", "Attempts after the first that this entry node made.");
@@ -92,11 +117,13 @@
                 .name("sequoianotch_refusals_total")
                 .help("Requests from callers that were refused and proved not to have run.")
                 .labelNames("service", "error")
+                .withoutExemplars()
                 .register(registry);
         Counter events = Counter.builder()
                 .name("sequoianotch_events_total")
                 .help("Events of requests and sub-calls on this node, by kind.")
                 .labelNames("kind")
+                .withoutExemplars()
                 .register(registry);
         for (EventKind kind : EventKind.values()) {
             eventCounts.put(kind, events.labelValues(kind.name().toLowerCase(Locale.ROOT)));
@@ -105,7 +132,12 @@
     }
 
     private Counter counter(String name, String help) {
-        return Counter.builder().name(name).help(help).labelNames("service").register(registry);
+        return Counter.builder()
+                .name(name)
+                .help(help)
+                .labelNames("service")
+                .withoutExemplars()
+                .register(registry);
     }
 
     private void registerMemory() {
@@ -136,22 +168,28 @@
     @Override
     public void finish(RequestSummary summary) {
         String service = serviceLabel(summary.rule().service());
-        String error = summary.error().map(ErrorKind::code).orElse(NO_ERROR);
-        Outcome outcome = summary.error().map(ErrorKind::outcome).orElse(Outcome.COMPLETED);
-        requests.labelValues(service, summary.rule().criticality().code(), outcome.headerValue(), error)
-                .inc();
-        latency.labelValues(service).observe(summary.latencyMs() / MS_PER_S);
+        Series series = new Series(
+                service, summary.rule().criticality(), summary.error().orElse(null));
+        requestCounts.computeIfAbsent(series, this::requestCount).inc();
+        latencies.computeIfAbsent(service, latency::labelValues).observe(summary.latencyMs() / MS_PER_S);
         if (summary.attempts() > 0) {
-            attempts.labelValues(service).inc(summary.attempts());
+            attemptCounts.computeIfAbsent(service, attempts::labelValues).inc(summary.attempts());
         }
         if (summary.attempts() > 1) {
             retries.labelValues(service).inc(summary.attempts() - 1);
         }
         if (summary.error().isPresent() && summary.error().get().provesNotRun()) {
-            refusals.labelValues(service, error).inc();
+            refusals.labelValues(service, summary.error().get().code()).inc();
         }
     }
 
+    private CounterDataPoint requestCount(Series series) {
+        Outcome outcome =
+                series.error() == null ? Outcome.COMPLETED : series.error().outcome();
+        String error = series.error() == null ? NO_ERROR : series.error().code();
+        return requests.labelValues(series.service(), series.criticality().code(), outcome.headerValue(), error);
+    }
+
     private String serviceLabel(ServiceName service) {
         return knownServices.test(service) ? service.name() : OTHER;
     }
--- a/sequoianotch-membership/src/main/java/org/sequoianotch/membership/NettyDatagramTransport.java
+++ b/sequoianotch-membership/src/main/java/org/sequoianotch/membership/NettyDatagramTransport.java
@@ -11,7 +11,6 @@
 import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
-import io.netty.channel.socket.nio.NioDatagramChannel;
 import io.netty.util.NetUtil;
 import io.vavr.control.Either;
 import java.net.InetAddress;
@@ -25,6 +24,7 @@
 import org.jspecify.annotations.Nullable;
 import org.sequoianotch.error.ErrorKind;
 import org.sequoianotch.error.Failure;
+import org.sequoianotch.protocol.link.Transport;
 
 /** Datagrams over UDP with Netty. This class is thread-safe. */
 public final class NettyDatagramTransport implements DatagramTransport {
@@ -55,7 +55,7 @@
     public Either<Failure, String> start(Consumer<byte[]> receiver) {
         Bootstrap bootstrap = new Bootstrap()
                 .group(group)
-                .channel(NioDatagramChannel.class)
+                .channel(Transport.datagramType(group))
                 .option(ChannelOption.SO_RCVBUF, SOCKET_BUFFER_BYTES)
                 .option(ChannelOption.RCVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(MAX_RECEIVED_BYTES))
                 .handler(new Receiver(receiver));
--- a/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/link/AcceptedLink.java
+++ b/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/link/AcceptedLink.java
@@ -65,7 +65,7 @@
                             Failure.of(ErrorKind.CALLER_GONE, "Host " + peer() + " cancelled the call: " + f.reason()));
                 }
             }
-            case Frame.Ask f -> TaskThreads.start("ask-" + peer() + "-" + f.askId(), () -> answer(f));
+            case Frame.Ask f -> TaskThreads.start("ask", () -> answer(f));
             case Frame.GoAway f -> LOG.info("[peer] Host {} is leaving: {}", peer(), f.reason());
             default -> throw new ProtocolViolationException(
                     "the connecting side sent " + frame.getClass().getSimpleName());
@@ -87,7 +87,7 @@
         }
         ServedCall call = new ServedCall(start.callId(), start.header(), this);
         calls.put(start.callId(), call);
-        TaskThreads.start("call-" + peer() + "-" + start.callId(), () -> serve(call));
+        TaskThreads.start("call", () -> serve(call));
     }
 
     private void serve(ServedCall call) {
--- a/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/link/BodyQueue.java
+++ b/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/link/BodyQueue.java
@@ -3,14 +3,12 @@
 import io.vavr.control.Either;
 import java.util.ArrayDeque;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.locks.Condition;
-import java.util.concurrent.locks.ReentrantLock;
 import java.util.function.IntConsumer;
 import org.jspecify.annotations.Nullable;
 import org.sequoianotch.error.ErrorKind;
 import org.sequoianotch.error.Failure;
 import org.sequoianotch.protocol.Frame;
+import org.sequoianotch.task.Signal;
 
 /**
  * Body parts that arrived and were not read yet. The window bounds them, so adding never blocks. Parts that are read
@@ -20,8 +18,7 @@
     /** Room is granted in steps, so that small parts do not cost a window frame each. */
     private static final int GRANT_STEP_BYTES = Frame.MAX_CHUNK_BYTES;
 
-    private final ReentrantLock lock = new ReentrantLock();
-    private final Condition changed = lock.newCondition();
+    private final Signal changed = new Signal();
     private final ArrayDeque<byte[]> parts = new ArrayDeque<>();
     private final IntConsumer grant;
     private int roomBytes = Frame.WINDOW_BYTES;
@@ -35,8 +32,7 @@
     }
 
     void add(byte[] part) throws ProtocolViolationException {
-        lock.lock();
-        try {
+        synchronized (this) {
             if (ended) {
                 throw new ProtocolViolationException("a body part follows the end of the body");
             }
@@ -46,69 +42,58 @@
             roomBytes -= part.length;
             if (failure == null) {
                 parts.add(part);
-                changed.signalAll();
             }
-        } finally {
-            lock.unlock();
         }
+        changed.raise();
     }
 
     /** Marks the proper end of the body. */
     void end() throws ProtocolViolationException {
-        lock.lock();
-        try {
+        synchronized (this) {
             if (ended) {
                 throw new ProtocolViolationException("a body ends twice");
             }
             ended = true;
-            changed.signalAll();
-        } finally {
-            lock.unlock();
         }
+        changed.raise();
     }
 
     /** Makes readers fail at once, unless the whole body has arrived. */
     void fail(Failure newFailure) {
-        lock.lock();
-        try {
+        synchronized (this) {
             if (failure == null && !ended) {
                 failure = newFailure;
                 parts.clear();
-                changed.signalAll();
             }
-        } finally {
-            lock.unlock();
         }
+        changed.raise();
     }
 
     /** Makes readers fail at once and drops what they did not read. */
     void discard(Failure newFailure) {
-        lock.lock();
-        try {
+        synchronized (this) {
             if (failure == null) {
                 failure = newFailure;
                 parts.clear();
-                changed.signalAll();
             }
-        } finally {
-            lock.unlock();
         }
+        changed.raise();
     }
 
     /** Takes the next part, or empty at the end of the body. */
     Either<Failure, Optional<byte[]>> take(long timeoutMs) {
-        int granted = 0;
-        byte @Nullable [] part;
-        lock.lock();
         try {
-            long leftNs = TimeUnit.MILLISECONDS.toNanos(timeoutMs);
-            while (parts.isEmpty() && failure == null && !ended) {
-                if (leftNs <= 0) {
-                    return Either.left(Failure.of(
-                            ErrorKind.DEADLINE_IN_DOUBT, "No part of the body arrived within " + timeoutMs + " ms."));
-                }
-                leftNs = changed.awaitNanos(leftNs);
+            if (!changed.await(this::canTake, timeoutMs)) {
+                return Either.left(Failure.of(
+                        ErrorKind.DEADLINE_IN_DOUBT, "No part of the body arrived within " + timeoutMs + " ms."));
             }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return Either.left(Failure.of(ErrorKind.INTERNAL, "Interrupted while waiting for the body."));
+        }
+        int granted = 0;
+        byte @Nullable [] part;
+        synchronized (this) {
             if (failure != null) {
                 return Either.left(failure);
             }
@@ -116,11 +101,6 @@
             if (part != null && !ended) {
                 granted = release(part.length);
             }
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-            return Either.left(Failure.of(ErrorKind.INTERNAL, "Interrupted while waiting for the body."));
-        } finally {
-            lock.unlock();
         }
         if (granted > 0) {
             grant.accept(granted);
@@ -128,6 +108,10 @@
         return Either.right(Optional.ofNullable(part));
     }
 
+    private synchronized boolean canTake() {
+        return !parts.isEmpty() || failure != null || ended;
+    }
+
     private int release(int bytes) {
         readBytes += bytes;
         if (readBytes < GRANT_STEP_BYTES) {
--- a/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/link/EventLoopTimer.java
+++ b/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/link/EventLoopTimer.java
@@ -1,37 +1,35 @@
 package org.sequoianotch.protocol.link;
 
-import io.netty.channel.EventLoop;
 import io.netty.util.Timeout;
 import io.netty.util.Timer;
 import io.netty.util.TimerTask;
-import io.netty.util.concurrent.ScheduledFuture;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicBoolean;
 import org.jspecify.annotations.Nullable;
+import org.sequoianotch.task.DeadlineWheel;
 
 /**
- * Timer that runs its tasks on an event loop. Unlike a timer with a thread of its own it wakes the process only when a
- * task is due.
+ * Timer that runs its tasks on the event loop of a wheel. Unlike a timer with a thread of its own it wakes the process
+ * only when a task is due.
  *
  * <p>This class is thread-safe.
  */
 public final class EventLoopTimer implements Timer {
-    private final EventLoop eventLoop;
+    private final DeadlineWheel wheel;
 
     /**
      * Creates a timer.
      *
-     * @param eventLoop runs the tasks, which must not block; not null
+     * @param wheel runs the tasks, which must not block; not null
      */
-    public EventLoopTimer(EventLoop eventLoop) {
-        this.eventLoop = eventLoop;
+    public EventLoopTimer(DeadlineWheel wheel) {
+        this.wheel = wheel;
     }
 
     @Override
     public Timeout newTimeout(TimerTask task, long delay, TimeUnit unit) {
-        LoopTimeout timeout = new LoopTimeout(task);
-        timeout.future = eventLoop.schedule(timeout, delay, unit);
+        WheelTimeout timeout = new WheelTimeout(task);
+        timeout.entry = wheel.add(unit.toNanos(delay), timeout);
         return timeout;
     }
 
@@ -41,24 +39,23 @@
         return Set.of();
     }
 
-    private final class LoopTimeout implements Timeout, Runnable {
+    private final class WheelTimeout implements Timeout, Runnable {
         private final TimerTask task;
-        private final AtomicBoolean ended = new AtomicBoolean();
-        private volatile @Nullable ScheduledFuture<?> future;
+        private volatile DeadlineWheel.@Nullable Entry entry;
+        private volatile boolean expired;
         private volatile boolean cancelled;
 
-        LoopTimeout(TimerTask task) {
+        WheelTimeout(TimerTask task) {
             this.task = task;
         }
 
         @Override
         public void run() {
-            if (ended.compareAndSet(false, true)) {
-                try {
-                    task.run(this);
-                } catch (Exception e) {
-                    throw new IllegalStateException("a timer task failed", e);
-                }
+            expired = true;
+            try {
+                task.run(this);
+            } catch (Exception e) {
+                throw new IllegalStateException("a timer task failed", e);
             }
         }
 
@@ -74,7 +71,7 @@
 
         @Override
         public boolean isExpired() {
-            return ended.get() && !cancelled;
+            return expired;
         }
 
         @Override
@@ -84,14 +81,11 @@
 
         @Override
         public boolean cancel() {
-            if (!ended.compareAndSet(false, true)) {
+            DeadlineWheel.Entry present = entry;
+            if (present == null || !present.cancel()) {
                 return false;
             }
             cancelled = true;
-            ScheduledFuture<?> scheduled = future;
-            if (scheduled != null) {
-                scheduled.cancel(false);
-            }
             return true;
         }
     }
--- a/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/link/FrameChannel.java
+++ b/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/link/FrameChannel.java
@@ -9,10 +9,9 @@
 import io.netty.handler.codec.CorruptedFrameException;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.TooLongFrameException;
-import io.netty.handler.flush.FlushConsolidationHandler;
 import io.netty.handler.ssl.SslContext;
 import io.netty.handler.ssl.SslHandler;
-import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
@@ -22,6 +21,8 @@
 import org.sequoianotch.protocol.Frame;
 import org.sequoianotch.protocol.FrameCodec;
 import org.sequoianotch.protocol.FrameFormatException;
+import org.sequoianotch.task.DeadlineWheel;
+import org.sequoianotch.task.Signal;
 import org.sequoianotch.time.Clock;
 
 /**
@@ -42,39 +43,57 @@
     /** Added to the size of each queued frame, so that a flood of tiny frames fills the queue as well. */
     private static final int FRAME_OVERHEAD_BYTES = 128;
 
+    /** Silence timeouts without work after which a link counts as quiet. */
+    private static final int QUIET_AFTER_SILENCES = 2;
+
+    /** A quiet link costs a third, and a call that breaks its silence checks it at once. */
+    private static final int QUIET_FACTOR = 3;
+
     /** How long a closing side waits for its last frames to be taken. */
     private static final long LINGER_MS = 1_000;
 
-    private static final int MAX_FLUSH_DELAY_FRAMES = 64;
-
     private record Entry(@Nullable Frame frame, int cost) {}
 
     private static final Entry END = new Entry(null, 0);
 
     private final Channel channel;
+    private final WriteBatch writes;
     private final ByteMeter meter;
     private final Clock clock;
     private final LinkCounters counters;
-    private final LinkedBlockingQueue<Entry> queue = new LinkedBlockingQueue<>();
+    private final DeadlineWheel deadlines;
+    private final ConcurrentLinkedQueue<Entry> queue = new ConcurrentLinkedQueue<>();
+    private final Signal arrived = new Signal();
     private final AtomicInteger queuedBytes = new AtomicInteger();
     private final AtomicReference<@Nullable String> closeReason = new AtomicReference<>();
     private volatile boolean paused;
     private volatile boolean established;
+    /** When a frame other than a heartbeat was last sent or received. */
+    private volatile double lastWorkMs;
+
+    private volatile @Nullable LinkOptions watched;
+    private volatile boolean sendsPings;
+    private volatile boolean quiet;
+    private double quietEndedMs;
+    private double lastPingMs;
     private boolean suspected;
     private long pings;
 
-    private FrameChannel(Channel channel, ByteMeter meter, Clock clock, LinkCounters counters) {
+    private FrameChannel(Channel channel, ByteMeter meter, LinkContext context) {
         this.channel = channel;
+        this.writes = new WriteBatch(channel, () -> {});
         this.meter = meter;
-        this.clock = clock;
-        this.counters = counters;
+        this.clock = context.clock();
+        this.counters = context.counters();
+        this.deadlines = context.transport().deadlines();
     }
 
     /** Fills the pipeline of a new channel. */
-    static FrameChannel install(
-            Channel channel, @Nullable SslContext tls, int timeoutMs, Clock clock, LinkCounters counters) {
+    static FrameChannel install(Channel channel, @Nullable SslContext tls, int timeoutMs, LinkContext context) {
+        Clock clock = context.clock();
+        LinkCounters counters = context.counters();
         ByteMeter meter = new ByteMeter(clock, counters);
-        FrameChannel frames = new FrameChannel(channel, meter, clock, counters);
+        FrameChannel frames = new FrameChannel(channel, meter, context);
         channel.pipeline().addLast(meter);
         if (tls != null) {
             SslHandler handler = tls.newHandler(channel.alloc());
@@ -82,7 +101,6 @@
             channel.pipeline().addLast(handler);
         }
         channel.pipeline()
-                .addLast(new FlushConsolidationHandler(MAX_FLUSH_DELAY_FRAMES, true))
                 .addLast(new LengthFieldBasedFrameDecoder(
                         FrameCodec.MAX_FRAME_BYTES + FrameCodec.PREFIX_BYTES,
                         0,
@@ -96,14 +114,23 @@
     /** Takes the next frame; null at the end of the connection. */
     @Nullable
     Frame take() throws InterruptedException {
-        return accept(queue.take());
+        arrived.await(this::hasEntry);
+        return accept(queue.remove());
     }
 
     /** Takes the next frame; null at the end of the connection or after the timeout. */
     @Nullable
     Frame take(long timeoutMs) throws InterruptedException {
-        Entry entry = queue.poll(timeoutMs, TimeUnit.MILLISECONDS);
-        return entry == null ? null : accept(entry);
+        return arrived.await(this::hasEntry, timeoutMs) ? accept(queue.remove()) : null;
+    }
+
+    private boolean hasEntry() {
+        return !queue.isEmpty();
+    }
+
+    private void add(Entry entry) {
+        queue.add(entry);
+        arrived.raise();
     }
 
     private @Nullable Frame accept(Entry entry) {
@@ -114,11 +141,30 @@
     }
 
     void send(Frame frame) throws FrameFormatException {
-        channel.writeAndFlush(FrameCodec.encodeWithPrefix(frame));
+        sendEncoded(FrameCodec.encodeWithPrefix(frame));
     }
 
     void sendEncoded(ByteBuf frame) {
-        channel.writeAndFlush(frame);
+        lastWorkMs = clock.monotonicMs();
+        write(frame);
+        LinkOptions options = watched;
+        if (quiet && options != null) {
+            channel.eventLoop().execute(() -> endQuiet(options));
+        }
+    }
+
+    /** The peer may be gone for a while without a trace, which work on the link should not find out the slow way. */
+    private void endQuiet(LinkOptions options) {
+        if (quiet && channel.isActive()) {
+            noteQuiet(options);
+            if (sendsPings) {
+                pingIfDue(options);
+            }
+        }
+    }
+
+    private void write(ByteBuf frame) {
+        writes.add(frame, frame.readableBytes());
     }
 
     boolean isOpen() {
@@ -128,12 +174,33 @@
     /** Starts heartbeats after the handshake. The connecting side sends them, and the accepting side answers. */
     void establish(LinkOptions options, boolean sendsPings) {
         established = true;
-        channel.eventLoop().execute(() -> {
-            if (sendsPings) {
-                channel.eventLoop().schedule(() -> ping(options), options.heartbeatMs(), TimeUnit.MILLISECONDS);
-            }
-            checkSilence(options);
-        });
+        lastWorkMs = clock.monotonicMs();
+        this.sendsPings = sendsPings;
+        watched = options;
+        watch(options);
+    }
+
+    /** Sends heartbeats and looks for silence, until the connection ends. */
+    private void watch(LinkOptions options) {
+        if (!channel.isActive()) {
+            return;
+        }
+        noteQuiet(options);
+        if (sendsPings) {
+            pingIfDue(options);
+        }
+        long nextMs = checkSilence(options);
+        deadlines.add(TimeUnit.MILLISECONDS.toNanos(nextMs), () -> watch(options));
+    }
+
+    /** On a link that carries nothing, heartbeats are rarer and silence may last longer, by the same factor. */
+    private void noteQuiet(LinkOptions options) {
+        double nowMs = clock.monotonicMs();
+        boolean wasQuiet = quiet;
+        quiet = nowMs - lastWorkMs > QUIET_AFTER_SILENCES * options.silenceTimeoutMs();
+        if (wasQuiet && !quiet) {
+            quietEndedMs = nowMs;
+        }
     }
 
     void close(String reason) {
@@ -144,11 +211,12 @@
     /** Closes the connection after the peer has taken the frames sent so far, or after {@link #LINGER_MS}. */
     void closeAfterFlush(String reason) {
         closeReason.compareAndSet(null, reason);
-        channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(sent -> {
-            if (channel instanceof SocketChannel socket && channel.isActive()) {
-                socket.shutdownOutput();
-            }
-        });
+        channel.eventLoop()
+                .execute(() -> channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(sent -> {
+                    if (channel instanceof SocketChannel socket && channel.isActive()) {
+                        socket.shutdownOutput();
+                    }
+                }));
         channel.eventLoop().schedule(() -> channel.close(), LINGER_MS, TimeUnit.MILLISECONDS);
     }
 
@@ -187,9 +255,10 @@
         } else if (established && frame instanceof Frame.Pong) {
             counters.countHeartbeat(sizeBytes + FrameCodec.PREFIX_BYTES);
         } else {
+            lastWorkMs = clock.monotonicMs();
             int cost = sizeBytes + FRAME_OVERHEAD_BYTES;
             int queued = queuedBytes.addAndGet(cost);
-            queue.add(new Entry(frame, cost));
+            add(new Entry(frame, cost));
             if (queued >= HIGH_WATER_BYTES && !paused) {
                 paused = true;
                 channel.config().setAutoRead(false);
@@ -209,7 +278,7 @@
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         closeReason.compareAndSet(null, "the peer closed the connection");
-        queue.add(END);
+        add(END);
         context.fireChannelInactive();
     }
 
@@ -231,14 +300,15 @@
         close("malformed frame: " + detail);
     }
 
-    private void ping(LinkOptions options) {
-        if (channel.isActive()) {
-            // Traffic in both directions shows both sides that the other one lives. A connection that takes no more
-            // bytes is already being watched for silence.
-            if (channel.isWritable() && !meter.isBusy(options.heartbeatMs())) {
-                sendHeartbeat(new Frame.Ping(++pings));
-            }
-            channel.eventLoop().schedule(() -> ping(options), options.heartbeatMs(), TimeUnit.MILLISECONDS);
+    private void pingIfDue(LinkOptions options) {
+        double nowMs = clock.monotonicMs();
+        long intervalMs = quiet ? QUIET_FACTOR * options.heartbeatMs() : options.heartbeatMs();
+        // Traffic in both directions shows both sides that the other one lives. A connection that takes no more bytes
+        // is
+        // already being watched for silence.
+        if (nowMs - lastPingMs >= intervalMs && channel.isWritable() && !meter.isBusy(options.heartbeatMs())) {
+            lastPingMs = nowMs;
+            sendHeartbeat(new Frame.Ping(++pings));
         }
     }
 
@@ -246,27 +316,27 @@
         try {
             ByteBuf buffer = FrameCodec.encodeWithPrefix(frame);
             counters.countHeartbeat(buffer.readableBytes());
-            channel.writeAndFlush(buffer);
+            write(buffer);
         } catch (FrameFormatException e) {
             throw new IllegalStateException("A heartbeat is larger than a frame may be", e);
         }
     }
 
-    private void checkSilence(LinkOptions options) {
-        if (!channel.isActive()) {
-            return;
+    /** Closes a connection that is silent for too long; returns the time until the next look. */
+    private long checkSilence(LinkOptions options) {
+        long allowedMs = quiet ? QUIET_FACTOR * options.silenceTimeoutMs() : options.silenceTimeoutMs();
+        double heardMs = Math.max(meter.lastReceivedMs(), quietEndedMs);
+        double leftMs = allowedMs - (clock.monotonicMs() - heardMs);
+        if (leftMs > 0) {
+            suspected = false;
+            return (long) Math.ceil(Math.min(leftMs, options.heartbeatMs()));
         }
-        double leftMs = options.silenceTimeoutMs() - (clock.monotonicMs() - meter.lastReceivedMs());
-        if (leftMs <= 0 && !suspected) {
-            // After a pause of this process, the bytes that arrived meanwhile are read before the second look.
-            suspected = true;
-            channel.eventLoop().schedule(() -> checkSilence(options), 1, TimeUnit.MILLISECONDS);
-        } else if (leftMs <= 0) {
+        if (suspected) {
             counters.countSilent();
-            close("nothing arrived for " + options.silenceTimeoutMs() + " ms");
-        } else {
-            suspected = false;
-            channel.eventLoop().schedule(() -> checkSilence(options), (long) Math.ceil(leftMs), TimeUnit.MILLISECONDS);
+            close("nothing arrived for " + allowedMs + " ms");
         }
+        // After a pause of this process, the bytes that arrived meanwhile are read before the second look.
+        suspected = true;
+        return 1;
     }
 }
--- a/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/link/OutgoingCall.java
+++ b/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/link/OutgoingCall.java
@@ -2,10 +2,6 @@
 
 import io.vavr.control.Either;
 import java.util.Optional;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ExecutionException;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.jspecify.annotations.Nullable;
 import org.sequoianotch.error.ErrorKind;
@@ -13,6 +9,7 @@
 import org.sequoianotch.protocol.AnswerHeader;
 import org.sequoianotch.protocol.AnswerTrailer;
 import org.sequoianotch.protocol.Frame;
+import org.sequoianotch.task.OneShot;
 
 /** Calling side of a call. The link's thread delivers frames; they never block it. */
 final class OutgoingCall implements PeerCall {
@@ -20,7 +17,7 @@
     private final OutgoingLink link;
     private final SendWindow window = new SendWindow();
     private final BodyQueue answerBody;
-    private final CompletableFuture<Either<Failure, AnswerHeader>> head = new CompletableFuture<>();
+    private final OneShot<Either<Failure, AnswerHeader>> head = new OneShot<>();
     private final AtomicBoolean ended = new AtomicBoolean();
     private volatile boolean answering;
     private volatile @Nullable AnswerTrailer trailer;
@@ -52,16 +49,13 @@
     @Override
     public Either<Failure, AnswerHeader> awaitAnswer(long timeoutMs) {
         try {
-            return head.get(timeoutMs, TimeUnit.MILLISECONDS);
-        } catch (TimeoutException e) {
-            return Either.left(Failure.of(
-                    ErrorKind.DEADLINE_IN_DOUBT,
-                    "Host " + link.peer() + " did not answer within " + timeoutMs + " ms."));
+            return head.await(timeoutMs)
+                    .orElseGet(() -> Either.left(Failure.of(
+                            ErrorKind.DEADLINE_IN_DOUBT,
+                            "Host " + link.peer() + " did not answer within " + timeoutMs + " ms.")));
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             return Either.left(Failure.of(ErrorKind.INTERNAL, "Interrupted while waiting for the answer."));
-        } catch (ExecutionException e) {
-            throw new IllegalStateException("The head of an answer never completes with an exception", e);
         }
     }
 
@@ -87,7 +81,7 @@
     }
 
     void answerStarted(AnswerHeader header) throws ProtocolViolationException {
-        if (!head.complete(Either.right(header)) && !ended.get()) {
+        if (!head.set(Either.right(header)) && !ended.get()) {
             throw new ProtocolViolationException("an answer starts twice");
         }
         answering = true;
@@ -109,7 +103,7 @@
 
     void refused(Failure failure, AnswerTrailer newTrailer) {
         trailer = newTrailer;
-        boolean started = head.isDone();
+        boolean started = head.isSet();
         // A kind that proves not-run contradicts an answer that has started.
         end(
                 started && failure.provesNotRun()
@@ -132,12 +126,12 @@
         // The head comes last, so that whoever learns of the failure from it finds the body closed as well.
         window.close(failure);
         answerBody.fail(failure);
-        head.complete(Either.left(failure));
+        head.set(Either.left(failure));
         return true;
     }
 
     private void checkStarted() throws ProtocolViolationException {
-        if (!head.isDone()) {
+        if (!head.isSet()) {
             throw new ProtocolViolationException("an answer has no head");
         }
     }
--- a/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/link/OutgoingLink.java
+++ b/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/link/OutgoingLink.java
@@ -3,11 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.vavr.control.Either;
 import java.util.Map;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.ExecutionException;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.locks.ReentrantLock;
 import org.apache.logging.log4j.LogManager;
@@ -21,13 +17,14 @@
 import org.sequoianotch.protocol.FrameCodec;
 import org.sequoianotch.protocol.FrameFormatException;
 import org.sequoianotch.protocol.Topic;
+import org.sequoianotch.task.OneShot;
 
 /** Link that this node opened; calls and questions go out on it. This class is thread-safe. */
 final class OutgoingLink extends Link {
     private static final Logger LOG = LogManager.getLogger(OutgoingLink.class);
 
     private final Map<Long, OutgoingCall> calls = new ConcurrentHashMap<>();
-    private final Map<Long, CompletableFuture<Either<Failure, byte[]>>> questions = new ConcurrentHashMap<>();
+    private final Map<Long, OneShot<Either<Failure, byte[]>>> questions = new ConcurrentHashMap<>();
     private final ReentrantLock openLock = new ReentrantLock();
     private final AtomicLong lastAskId = new AtomicLong();
     private long lastCallId;
@@ -99,7 +96,7 @@
 
     Either<Failure, byte[]> ask(Topic topic, byte[] payload, long timeoutMs) {
         long askId = lastAskId.incrementAndGet();
-        CompletableFuture<Either<Failure, byte[]>> result = new CompletableFuture<>();
+        OneShot<Either<Failure, byte[]>> result = new OneShot<>();
         openLock.lock();
         try {
             if (retired) {
@@ -115,18 +112,16 @@
             if (hasEnded()) {
                 return Either.left(lostFailure());
             }
-            return result.get(timeoutMs, TimeUnit.MILLISECONDS);
+            return result.await(timeoutMs)
+                    .orElseGet(() -> Either.left(Failure.of(
+                            ErrorKind.DEADLINE_IN_DOUBT,
+                            "Host " + peer() + " did not answer a question on " + topic + " within " + timeoutMs
+                                    + " ms.")));
         } catch (FrameFormatException e) {
             return Either.left(Failure.of(ErrorKind.BAD_REQUEST, "The question is too large: " + e.getMessage()));
-        } catch (TimeoutException e) {
-            return Either.left(Failure.of(
-                    ErrorKind.DEADLINE_IN_DOUBT,
-                    "Host " + peer() + " did not answer a question on " + topic + " within " + timeoutMs + " ms."));
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             return Either.left(Failure.of(ErrorKind.INTERNAL, "Interrupted while waiting for a reply."));
-        } catch (ExecutionException e) {
-            throw new IllegalStateException("A question never completes with an exception", e);
         } finally {
             questions.remove(askId);
         }
@@ -189,17 +184,17 @@
     }
 
     private void replied(long askId, Either<Failure, byte[]> reply) {
-        CompletableFuture<Either<Failure, byte[]>> question = questions.get(askId);
+        OneShot<Either<Failure, byte[]>> question = questions.get(askId);
         if (question == null) {
             context().counters().countUnknownCallFrame();
         } else {
-            question.complete(reply);
+            question.set(reply);
         }
     }
 
     @Override
     void endAll(Failure failure) {
         calls.values().forEach(call -> call.end(failure));
-        questions.values().forEach(question -> question.complete(Either.left(failure)));
+        questions.values().forEach(question -> question.set(Either.left(failure)));
     }
 }
--- a/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/link/PeerLinks.java
+++ b/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/link/PeerLinks.java
@@ -1,21 +1,15 @@
 package org.sequoianotch.protocol.link;
 
-import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.ssl.SslContext;
 import io.vavr.control.Either;
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.ExecutionException;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Function;
 import org.apache.logging.log4j.LogManager;
@@ -27,6 +21,7 @@
 import org.sequoianotch.protocol.CallHeader;
 import org.sequoianotch.protocol.FrameFormatException;
 import org.sequoianotch.protocol.Topic;
+import org.sequoianotch.task.OneShot;
 import org.sequoianotch.task.TaskThreads;
 import org.sequoianotch.time.Clock;
 
@@ -40,7 +35,7 @@
 
     private final LinkContext context;
     private final @Nullable SslContext tls;
-    private final Map<String, CompletableFuture<Either<Failure, OutgoingLink>>> links = new ConcurrentHashMap<>();
+    private final Map<String, OneShot<Either<Failure, OutgoingLink>>> links = new ConcurrentHashMap<>();
     private volatile @Nullable PeerListener listener;
     private volatile boolean closed;
 
@@ -125,7 +120,7 @@
 
     private List<OutgoingLink> openLinks() {
         return links.values().stream()
-                .map(future -> future.getNow(Either.left(Failure.of(ErrorKind.NO_INSTANCE, "still opening"))))
+                .flatMap(opened -> opened.get().stream())
                 .filter(Either::isRight)
                 .map(Either::get)
                 .toList();
@@ -133,42 +128,40 @@
 
     private Either<Failure, OutgoingLink> link(String address, long timeoutMs) {
         while (!closed) {
-            CompletableFuture<Either<Failure, OutgoingLink>> future = links.get(address);
-            if (future == null) {
-                CompletableFuture<Either<Failure, OutgoingLink>> created = new CompletableFuture<>();
-                future = links.putIfAbsent(address, created);
-                if (future == null) {
-                    future = created;
+            OneShot<Either<Failure, OutgoingLink>> opened = links.get(address);
+            if (opened == null) {
+                OneShot<Either<Failure, OutgoingLink>> created = new OneShot<>();
+                opened = links.putIfAbsent(address, created);
+                if (opened == null) {
+                    opened = created;
                     TaskThreads.start("link-" + address, () -> connectAndRun(address, created));
                 }
             }
-            Either<Failure, OutgoingLink> link = await(address, future, timeoutMs);
+            Either<Failure, OutgoingLink> link = await(address, opened, timeoutMs);
             if (link.isLeft() || !link.get().isClosed() && !link.get().isRetired()) {
                 return link;
             }
-            links.remove(address, future);
+            links.remove(address, opened);
         }
         return Either.left(Failure.of(ErrorKind.NO_INSTANCE, "This node has closed its links."));
     }
 
     private static Either<Failure, OutgoingLink> await(
-            String address, CompletableFuture<Either<Failure, OutgoingLink>> future, long timeoutMs) {
+            String address, OneShot<Either<Failure, OutgoingLink>> opened, long timeoutMs) {
         try {
-            return future.get(timeoutMs, TimeUnit.MILLISECONDS);
-        } catch (TimeoutException e) {
-            return Either.left(Failure.of(
-                    ErrorKind.DEADLINE_BEFORE_RUN, "No link with " + address + " within " + timeoutMs + " ms."));
+            return opened.await(timeoutMs)
+                    .orElseGet(() -> Either.left(Failure.of(
+                            ErrorKind.DEADLINE_BEFORE_RUN,
+                            "No link with " + address + " within " + timeoutMs + " ms.")));
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             return Either.left(
                     Failure.of(ErrorKind.NO_INSTANCE, "Interrupted while waiting for a link with " + address + "."));
-        } catch (ExecutionException e) {
-            throw new IllegalStateException("A link never completes with an exception", e);
         }
     }
 
     /** Runs on the link's own thread for as long as the link lives. */
-    private void connectAndRun(String address, CompletableFuture<Either<Failure, OutgoingLink>> future) {
+    private void connectAndRun(String address, OneShot<Either<Failure, OutgoingLink>> opened) {
         Either<String, OutgoingLink> result;
         try {
             result = PeerAddress.parse(address).flatMap(this::connect);
@@ -177,38 +170,34 @@
             result = Either.left("internal error " + e);
         }
         if (result.isLeft()) {
-            links.remove(address, future);
-            future.complete(Either.left(
+            links.remove(address, opened);
+            opened.set(Either.left(
                     Failure.of(ErrorKind.NO_INSTANCE, "No link with " + address + ": " + result.getLeft() + ".")));
             return;
         }
         OutgoingLink link = result.get();
         LOG.info("[peer] Link with {} at {} is open", link.peer(), address);
-        future.complete(Either.right(link));
+        opened.set(Either.right(link));
         if (closed) {
             link.close("this node closes its links");
         }
         try {
             link.run(true);
         } finally {
-            links.remove(address, future);
+            links.remove(address, opened);
         }
     }
 
     private Either<String, OutgoingLink> connect(InetSocketAddress address) {
         AtomicReference<@Nullable FrameChannel> installed = new AtomicReference<>();
         LinkOptions options = context.options();
-        ChannelFuture connected = new Bootstrap()
-                .group(context.transport().eventLoops())
-                .channel(NioSocketChannel.class)
+        ChannelFuture connected = Transport.connection(context.transport().eventLoops())
                 .option(ChannelOption.ALLOCATOR, context.transport().allocator())
-                .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, options.connectTimeoutMs())
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
-                        installed.set(FrameChannel.install(
-                                channel, tls, options.connectTimeoutMs(), context.clock(), context.counters()));
+                        installed.set(FrameChannel.install(channel, tls, options.connectTimeoutMs(), context));
                     }
                 })
                 .connect(address)
--- a/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/link/PeerListener.java
+++ b/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/link/PeerListener.java
@@ -1,12 +1,10 @@
 package org.sequoianotch.protocol.link;
 
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.ssl.SslContext;
 import io.vavr.control.Either;
 import java.net.InetSocketAddress;
@@ -135,13 +133,10 @@
     }
 
     private Either<String, InetSocketAddress> bind(InetSocketAddress address) {
-        ChannelFuture bound = new ServerBootstrap()
-                .group(context.transport().eventLoops())
-                .channel(NioServerSocketChannel.class)
+        ChannelFuture bound = Transport.listener(context.transport().eventLoops())
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.ALLOCATOR, context.transport().allocator())
-                .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
@@ -158,9 +153,9 @@
     }
 
     private void accept(SocketChannel channel) {
-        FrameChannel frames = FrameChannel.install(
-                channel, tls, context.options().connectTimeoutMs(), context.clock(), context.counters());
-        TaskThreads.start("link-" + channel.remoteAddress(), () -> serve(frames));
+        FrameChannel frames =
+                FrameChannel.install(channel, tls, context.options().connectTimeoutMs(), context);
+        TaskThreads.start("link", () -> serve(frames));
     }
 
     /** Runs on the link's own thread for as long as the link lives. */
--- a/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/link/SendWindow.java
+++ b/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/link/SendWindow.java
@@ -1,74 +1,61 @@
 package org.sequoianotch.protocol.link;
 
 import io.vavr.control.Either;
-import java.util.concurrent.locks.Condition;
-import java.util.concurrent.locks.ReentrantLock;
 import org.jspecify.annotations.Nullable;
 import org.sequoianotch.error.ErrorKind;
 import org.sequoianotch.error.Failure;
 import org.sequoianotch.protocol.Frame;
+import org.sequoianotch.task.Signal;
 
-/** Body bytes that one side of a call may still send. Writers wait here. This class is thread-safe. */
+/** Body bytes that one side of a call may still send. The call's task waits here. This class is thread-safe. */
 final class SendWindow {
-    private final ReentrantLock lock = new ReentrantLock();
-    private final Condition changed = lock.newCondition();
+    private final Signal changed = new Signal();
     private int availableBytes = Frame.WINDOW_BYTES;
     private @Nullable Failure failure;
 
     /** Waits until something may be sent, and takes up to the wanted number of bytes. */
     Either<Failure, Integer> acquire(int wantedBytes) {
-        lock.lock();
         try {
-            while (failure == null && availableBytes == 0) {
-                changed.await();
-            }
+            changed.await(this::isOpenOrFailed);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return Either.left(Failure.of(ErrorKind.INTERNAL, "Interrupted while waiting for the send window."));
+        }
+        synchronized (this) {
             if (failure != null) {
                 return Either.left(failure);
             }
             int taken = Math.min(wantedBytes, availableBytes);
             availableBytes -= taken;
             return Either.right(taken);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-            return Either.left(Failure.of(ErrorKind.INTERNAL, "Interrupted while waiting for the send window."));
-        } finally {
-            lock.unlock();
         }
     }
 
+    private synchronized boolean isOpenOrFailed() {
+        return availableBytes > 0 || failure != null;
+    }
+
     void grant(int bytes) throws ProtocolViolationException {
-        lock.lock();
-        try {
+        synchronized (this) {
             if (bytes > Frame.WINDOW_BYTES - availableBytes) {
                 throw new ProtocolViolationException("the peer grants more than it received");
             }
             availableBytes += bytes;
-            changed.signalAll();
-        } finally {
-            lock.unlock();
         }
+        changed.raise();
     }
 
     /** Makes all writers fail; the first failure counts. */
     void close(Failure newFailure) {
-        lock.lock();
-        try {
+        synchronized (this) {
             if (failure == null) {
                 failure = newFailure;
-                changed.signalAll();
             }
-        } finally {
-            lock.unlock();
         }
+        changed.raise();
     }
 
-    @Nullable
-    Failure failure() {
-        lock.lock();
-        try {
-            return failure;
-        } finally {
-            lock.unlock();
-        }
+    synchronized @Nullable Failure failure() {
+        return failure;
     }
 }
--- a/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/link/Transport.java
+++ b/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/link/Transport.java
@@ -1,17 +1,33 @@
 package org.sequoianotch.protocol.link;
 
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.PooledByteBufAllocator;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.epoll.Epoll;
+import io.netty.channel.epoll.EpollChannelOption;
+import io.netty.channel.epoll.EpollDatagramChannel;
+import io.netty.channel.epoll.EpollEventLoopGroup;
+import io.netty.channel.epoll.EpollMode;
+import io.netty.channel.epoll.EpollServerSocketChannel;
+import io.netty.channel.epoll.EpollSocketChannel;
 import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.channel.socket.DatagramChannel;
+import io.netty.channel.socket.nio.NioDatagramChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.util.Objects;
 import java.util.concurrent.TimeUnit;
+import org.sequoianotch.task.DeadlineWheel;
 
 /**
  * Event loops and buffer allocator of the process, shared by everything that uses Netty.
  *
- * <p>This class is thread-safe. Whoever creates it closes it, after everything that uses it.
+ * <p>On Linux the channels are those of epoll. They report readiness by level, because the other mode costs a further
+ * system call for each message to learn that nothing is left to read. This class is thread-safe. Whoever creates it
+ * closes it, after everything that uses it.
  */
 public final class Transport implements AutoCloseable {
     private static final long CLOSE_TIMEOUT_MS = 2_000;
@@ -23,6 +39,7 @@
 
     private final EventLoopGroup eventLoops;
     private final ByteBufAllocator allocator;
+    private final DeadlineWheel deadlines;
 
     /**
      * Creates a transport from existing parts.
@@ -33,6 +50,7 @@
     public Transport(EventLoopGroup eventLoops, ByteBufAllocator allocator) {
         this.eventLoops = Objects.requireNonNull(eventLoops, "eventLoops");
         this.allocator = Objects.requireNonNull(allocator, "allocator");
+        this.deadlines = new DeadlineWheel(eventLoops.next());
     }
 
     /**
@@ -43,7 +61,7 @@
      */
     public static Transport create(int threads) {
         return new Transport(
-                new NioEventLoopGroup(threads, new DefaultThreadFactory("event-loop", true)),
+                newEventLoops(threads),
                 new PooledByteBufAllocator(
                         true,
                         0,
@@ -55,6 +73,56 @@
                         false));
     }
 
+    private static EventLoopGroup newEventLoops(int threads) {
+        DefaultThreadFactory threadFactory = new DefaultThreadFactory("event-loop", true);
+        return Epoll.isAvailable()
+                ? new EpollEventLoopGroup(threads, threadFactory)
+                : new NioEventLoopGroup(threads, threadFactory);
+    }
+
+    /**
+     * Prepares a listener on event loops.
+     *
+     * @param eventLoops the event loops; not null
+     * @return a bootstrap with the group and the type of channel set, never null
+     */
+    public static ServerBootstrap listener(EventLoopGroup eventLoops) {
+        ServerBootstrap bootstrap = new ServerBootstrap().group(eventLoops);
+        if (!(eventLoops instanceof EpollEventLoopGroup)) {
+            return bootstrap.channel(NioServerSocketChannel.class);
+        }
+        return bootstrap
+                .channel(EpollServerSocketChannel.class)
+                .option(EpollChannelOption.EPOLL_MODE, EpollMode.LEVEL_TRIGGERED)
+                .childOption(EpollChannelOption.EPOLL_MODE, EpollMode.LEVEL_TRIGGERED);
+    }
+
+    /**
+     * Prepares connections on event loops.
+     *
+     * @param eventLoops the event loops; not null
+     * @return a bootstrap with the group and the type of channel set, never null
+     */
+    public static Bootstrap connection(EventLoopGroup eventLoops) {
+        Bootstrap bootstrap = new Bootstrap().group(eventLoops);
+        if (!(eventLoops instanceof EpollEventLoopGroup)) {
+            return bootstrap.channel(NioSocketChannel.class);
+        }
+        return bootstrap
+                .channel(EpollSocketChannel.class)
+                .option(EpollChannelOption.EPOLL_MODE, EpollMode.LEVEL_TRIGGERED);
+    }
+
+    /**
+     * Returns the type of datagram channels that event loops carry.
+     *
+     * @param eventLoops the event loops; not null
+     * @return the type, never null
+     */
+    public static Class<? extends DatagramChannel> datagramType(EventLoopGroup eventLoops) {
+        return eventLoops instanceof EpollEventLoopGroup ? EpollDatagramChannel.class : NioDatagramChannel.class;
+    }
+
     /**
      * Returns the event loops.
      *
@@ -64,6 +132,15 @@
         return eventLoops;
     }
 
+    /**
+     * Returns the wheel that runs actions on one of the event loops.
+     *
+     * @return the wheel, never null
+     */
+    public DeadlineWheel deadlines() {
+        return deadlines;
+    }
+
     /**
      * Returns the allocator of network buffers.
      *
--- a/sequoianotch-protocol/src/test/java/org/sequoianotch/protocol/link/EventLoopTimerTest.java
+++ b/sequoianotch-protocol/src/test/java/org/sequoianotch/protocol/link/EventLoopTimerTest.java
@@ -10,13 +10,14 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.sequoianotch.task.DeadlineWheel;
 
 /** Guards against deadlines that never come, or that come for requests that have ended. */
 final class EventLoopTimerTest {
     private static final long WAIT_MS = 5_000;
 
     private final EventLoop eventLoop = new DefaultEventLoop();
-    private final EventLoopTimer timer = new EventLoopTimer(eventLoop);
+    private final EventLoopTimer timer = new EventLoopTimer(new DeadlineWheel(eventLoop));
 
     @AfterEach
     void close() {
