Let calls of instances belong to the request that the instance runs

Cause: on the platform a call that an instance makes is a request with an id of its own, so the node took it for one from outside: depth 0, the criticality of its route, refused at the entry like any other. Requests that need five or ten such calls lost them one by one in mid-chain, and nothing told the nodes that work above was wasted.

--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/CallerTerms.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/CallerTerms.java
@@ -2,6 +2,8 @@
 
 import java.util.List;
 import java.util.Objects;
+import java.util.Optional;
+import org.jspecify.annotations.Nullable;
 import org.sequoianotch.model.RequestId;
 import org.sequoianotch.protocol.HeaderField;
 
@@ -11,11 +13,17 @@
  * <p>This type is immutable.
  *
  * @param requestId identifies the request in logs and explanations; not null
+ * @param parentId the request for which an instance makes this one, as far as the caller tells; null if there is none
  * @param authority host name that the caller gave; not null
  * @param timeLeftMs how long the caller waits, in milliseconds; not negative
  * @param headers headers for the backend server; not null
  */
-public record CallerTerms(RequestId requestId, String authority, long timeLeftMs, List<HeaderField> headers) {
+public record CallerTerms(
+        RequestId requestId,
+        @Nullable RequestId parentId,
+        String authority,
+        long timeLeftMs,
+        List<HeaderField> headers) {
     /** Copies the headers. */
     public CallerTerms {
         Objects.requireNonNull(requestId, "requestId");
@@ -25,4 +33,13 @@
             throw new IllegalArgumentException("timeLeftMs is " + timeLeftMs + ", but must not be negative");
         }
     }
+
+    /**
+     * Returns the request for which an instance makes this one.
+     *
+     * @return the request above, or empty if the caller names none
+     */
+    public Optional<RequestId> parent() {
+        return Optional.ofNullable(parentId);
+    }
 }
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/RequestContext.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/RequestContext.java
@@ -70,6 +70,17 @@
                 requestId, criticality, depth, Math.min(deadlineAtMs, ownDeadlineAtMs), allowance, this);
     }
 
+    /**
+     * Creates the context of a sub-call that is a request of its own. It matters as much as the call above.
+     *
+     * @param ownId the request; not null
+     * @param ownDeadlineAtMs its deadline on the monotonic clock, in milliseconds
+     * @param ownAllowance retries that may be used from there; not null
+     */
+    RequestContext subRequest(RequestId ownId, double ownDeadlineAtMs, RetryAllowance ownAllowance) {
+        return new RequestContext(ownId, criticality, depth, ownDeadlineAtMs, ownAllowance, this);
+    }
+
     /**
      * Returns the request.
      *
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/RouteHandler.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/RouteHandler.java
@@ -29,6 +29,7 @@
     private final RouteLimits limits;
     private final CallerDialect dialect;
     private final RequestRunner runner;
+    private final ContextRegistry contexts;
     private final Journal journal;
     private final Clock clock;
     private final Timer timer;
@@ -39,6 +40,7 @@
             RouteLimits limits,
             CallerDialect dialect,
             RequestRunner runner,
+            ContextRegistry contexts,
             Journal journal,
             Clock clock,
             Timer timer,
@@ -47,6 +49,7 @@
         this.limits = limits;
         this.dialect = dialect;
         this.runner = runner;
+        this.contexts = contexts;
         this.journal = journal;
         this.clock = clock;
         this.timer = timer;
@@ -101,12 +104,10 @@
         double startedAtMs = clock.monotonicMs();
         long timeoutMs = Math.min(terms.timeLeftMs(), route.timeoutMs());
         OutboundCall outbound = limits.outbound(exchange, table, terms, route, route.chooseTarget(random));
-        RequestContext context = new RequestContext(
-                terms.requestId(),
-                outbound.route().criticality(),
-                0,
-                startedAtMs + timeoutMs,
-                RetryAllowance.of(outbound.route().retryAllowance()));
+        Optional<RequestContext> above = terms.parent().flatMap(contexts::find);
+        RequestContext context = newContext(outbound, terms, startedAtMs + timeoutMs, above);
+        Runnable cancel = () -> context.cancel(Failure.of(ErrorKind.CALLER_GONE, "The call above was cancelled."));
+        above.ifPresent(call -> call.onCancel(cancel));
         Timeout deadline = timer.newTimeout(
                 timeout -> context.cancel(
                         Failure.of(ErrorKind.DEADLINE_IN_DOUBT, "The time limit of " + timeoutMs + " ms passed.")),
@@ -115,6 +116,7 @@
         exchange.onClose(() -> context.cancel(Failure.of(ErrorKind.CALLER_GONE, "The caller closed its connection.")));
         RunResult result = runner.runGuarded(exchange, outbound, context);
         deadline.cancel();
+        above.ifPresent(call -> call.removeCancelAction(cancel));
         journal.finish(new RequestSummary(
                 terms.requestId(),
                 outbound.route(),
@@ -124,4 +126,13 @@
                 clock.monotonicMs() - startedAtMs,
                 result.attempts()));
     }
+
+    /** A request of the instance on this host belongs to the call for which the instance makes it. */
+    private static RequestContext newContext(
+            OutboundCall outbound, CallerTerms terms, double deadlineAtMs, Optional<RequestContext> above) {
+        RetryAllowance allowance = RetryAllowance.of(outbound.route().retryAllowance());
+        return above.map(call -> call.subRequest(terms.requestId(), deadlineAtMs, allowance))
+                .orElseGet(() -> new RequestContext(
+                        terms.requestId(), outbound.route().criticality(), 0, deadlineAtMs, allowance));
+    }
 }
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/RoutedCallPath.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/RoutedCallPath.java
@@ -44,6 +44,7 @@
                 parts.limits(),
                 parts.callerDialect(),
                 runner,
+                contexts,
                 parts.journal(),
                 parts.clock(),
                 parts.timer(),
