Choose instances by their own level, not by that of services below

Cause: a node lowers the level that it reports to the lowest one of the services that its calls need, so that entry nodes refuse early. The choice of an instance took that level for the instance's own and sent calls to other data centres and regions, which meet the same refusals below.

Change: a LoadReport carries the instance's own level besides; routing goes by it, the entry gate by the whole chain's. Protocol version 2.

Ruled out, as a trial: a lot drawn from the request id that all calls of a request share, put before the deadline in the queue.

--- a/sequoianotch-core/src/main/java/org/sequoianotch/model/LoadReport.java
+++ b/sequoianotch-core/src/main/java/org/sequoianotch/model/LoadReport.java
@@ -10,9 +10,12 @@
  * @param inFlight calls at the backend server; not negative
  * @param limit calls allowed at the backend server at once; at least 1
  * @param queued calls waiting in the node's queue; not negative
- * @param admissionLevel from 0 (nothing) to 3 (everything)
+ * @param admissionLevel from 0 (nothing) to 3 (everything); the lowest one among the instance and the services that its
+ *     calls need
+ * @param instanceLevel level of the instance by itself, as far as another instance of the service would admit more; at
+ *     least {@code admissionLevel}
  */
-public record LoadReport(int inFlight, int limit, int queued, double admissionLevel) {
+public record LoadReport(int inFlight, int limit, int queued, double admissionLevel, double instanceLevel) {
     /** Admission level at which every request is admitted. */
     public static final double ADMIT_ALL = Criticality.values().length;
 
@@ -22,14 +25,26 @@
             throw new IllegalArgumentException(
                     "inFlight " + inFlight + ", limit " + limit + " or queued " + queued + " is out of range");
         }
-        if (!(admissionLevel >= 0 && admissionLevel <= ADMIT_ALL)) {
-            throw new IllegalArgumentException(
-                    "admissionLevel is " + admissionLevel + ", but must be from 0 to " + ADMIT_ALL);
+        if (!(admissionLevel >= 0 && admissionLevel <= instanceLevel && instanceLevel <= ADMIT_ALL)) {
+            throw new IllegalArgumentException("admissionLevel is " + admissionLevel + " and instanceLevel is "
+                    + instanceLevel + ", but must be from 0 to " + ADMIT_ALL + ", the second not the lower one");
         }
     }
 
     /**
-     * Returns the part of the requests of a criticality that the instance admits.
+     * Creates the report of an instance whose calls need no other service.
+     *
+     * @param inFlight calls at the backend server; not negative
+     * @param limit calls allowed at the backend server at once; at least 1
+     * @param queued calls waiting in the node's queue; not negative
+     * @param admissionLevel from 0 (nothing) to 3 (everything)
+     */
+    public LoadReport(int inFlight, int limit, int queued, double admissionLevel) {
+        this(inFlight, limit, queued, admissionLevel, admissionLevel);
+    }
+
+    /**
+     * Returns the part of the requests of a criticality that the instance and the services below it admit.
      *
      * @param criticality the criticality; not null
      * @return a fraction from 0 to 1
@@ -38,6 +53,16 @@
         return Math.clamp(admissionLevel - criticality.ordinal(), 0.0, 1.0);
     }
 
+    /**
+     * Returns the part of the requests of a criticality that the instance by itself admits.
+     *
+     * @param criticality the criticality; not null
+     * @return a fraction from 0 to 1
+     */
+    public double admittedByInstance(Criticality criticality) {
+        return Math.clamp(instanceLevel - criticality.ordinal(), 0.0, 1.0);
+    }
+
     /**
      * Returns how full the instance is, counting its queue.
      *
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/RequestContext.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/RequestContext.java
@@ -178,7 +178,12 @@
      * @return the combined report, never null
      */
     public synchronized LoadReport combine(LoadReport own) {
-        return new LoadReport(own.inFlight(), own.limit(), own.queued(), Math.min(own.admissionLevel(), lowestLevel));
+        return new LoadReport(
+                own.inFlight(),
+                own.limit(),
+                own.queued(),
+                Math.min(own.admissionLevel(), lowestLevel),
+                own.instanceLevel());
     }
 
     /**
--- a/sequoianotch-policy/src/main/java/org/sequoianotch/policy/admission/ProtectiveAdmission.java
+++ b/sequoianotch-policy/src/main/java/org/sequoianotch/policy/admission/ProtectiveAdmission.java
@@ -99,8 +99,9 @@
         LoadReport report;
         synchronized (this) {
             advance(clock.monotonicMs(), decisions);
-            report = new LoadReport(
-                    inFlight, limit.current(), queue.size(), Math.min(level.level(), wastedCallLevel.level()));
+            double own = level.level();
+            double wholeChain = Math.min(own, wastedCallLevel.level());
+            report = new LoadReport(inFlight, limit.current(), queue.size(), wholeChain, own);
         }
         decisions.forEach(Runnable::run);
         return report;
--- a/sequoianotch-policy/src/main/java/org/sequoianotch/policy/routing/InstanceStats.java
+++ b/sequoianotch-policy/src/main/java/org/sequoianotch/policy/routing/InstanceStats.java
@@ -159,9 +159,10 @@
         return nowMs - loadAtMs < FRESH_LOAD_MS ? Optional.ofNullable(load) : Optional.empty();
     }
 
+    /** Leaves out what the services below refuse, since other instances of this service would meet it too. */
     double admittedFraction(Criticality criticality, double nowMs) {
         return freshLoad(nowMs)
-                .map(report -> report.admittedFraction(criticality))
+                .map(report -> report.admittedByInstance(criticality))
                 .orElse(1.0);
     }
 }
--- a/sequoianotch-policy/src/test/java/org/sequoianotch/policy/routing/CrossRegionPriceTest.java
+++ b/sequoianotch-policy/src/test/java/org/sequoianotch/policy/routing/CrossRegionPriceTest.java
@@ -38,10 +38,14 @@
             new Random(1));
 
     private void observe(Instance instance, double latencyMs) {
+        observe(instance, latencyMs, IDLE);
+    }
+
+    private void observe(Instance instance, double latencyMs, LoadReport load) {
         for (int i = 0; i < 50; i++) {
             Attempt attempt = selector.start(instance);
             clock.advance(10);
-            attempt.finish(AttemptResult.SUCCEEDED, latencyMs, IDLE);
+            attempt.finish(AttemptResult.SUCCEEDED, latencyMs, load);
         }
     }
 
@@ -57,4 +61,17 @@
 
         assertThat(chosen.equals(far)).isEqualTo(expectsFar);
     }
+
+    /** What services below refuse is refused in the other region too, so it is no reason to send a call there. */
+    @ParameterizedTest
+    @CsvSource({"3.0, false", "1.1, true"})
+    void onlyRefusalsOfTheInstanceItselfDriveCallsToTheOtherRegion(double instanceLevel, boolean expectsFar) {
+        observe(far, 100);
+        observe(home, 100, new LoadReport(1, 50, 0, 1.1, instanceLevel));
+
+        Instance chosen = selector.select(new RoutingRequest(Criticality.STANDARD, 5_000, Set.of()), List.of(home, far))
+                .orElseThrow();
+
+        assertThat(chosen.equals(far)).isEqualTo(expectsFar);
+    }
 }
--- a/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/Frame.java
+++ b/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/Frame.java
@@ -13,7 +13,7 @@
  */
 public sealed interface Frame {
     /** Version of the protocol that this module speaks. */
-    int VERSION = 1;
+    int VERSION = 2;
 
     /** Length of a nonce and of a proof. */
     int PROOF_BYTES = 32;
--- a/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/FrameReader.java
+++ b/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/FrameReader.java
@@ -166,7 +166,11 @@
         return new AnswerTrailer(
                 unpacker.unpackInt(),
                 new LoadReport(
-                        unpacker.unpackInt(), unpacker.unpackInt(), unpacker.unpackInt(), unpacker.unpackDouble()));
+                        unpacker.unpackInt(),
+                        unpacker.unpackInt(),
+                        unpacker.unpackInt(),
+                        unpacker.unpackDouble(),
+                        unpacker.unpackDouble()));
     }
 
     private Failure failure() throws IOException, FrameFormatException {
--- a/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/FrameWriter.java
+++ b/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/FrameWriter.java
@@ -105,7 +105,9 @@
     private void trailer(AnswerTrailer trailer) throws IOException {
         packer.packInt(trailer.returnedRetries());
         packer.packInt(trailer.load().inFlight()).packInt(trailer.load().limit());
-        packer.packInt(trailer.load().queued()).packDouble(trailer.load().admissionLevel());
+        packer.packInt(trailer.load().queued());
+        packer.packDouble(trailer.load().admissionLevel())
+                .packDouble(trailer.load().instanceLevel());
     }
 
     private void failure(Failure failure) throws IOException {
--- a/sequoianotch-protocol/src/test/java/org/sequoianotch/protocol/FrameCodecTest.java
+++ b/sequoianotch-protocol/src/test/java/org/sequoianotch/protocol/FrameCodecTest.java
@@ -167,7 +167,7 @@
                 .as(Failure::new);
         Arbitrary<AnswerTrailer> trailers = Combinators.combine(
                         counts, counts, counts, Arbitraries.doubles().between(0, 3))
-                .as((a, b, c, level) -> new AnswerTrailer(a, new LoadReport(b, Math.max(1, c), a, level)));
+                .as((a, b, c, level) -> new AnswerTrailer(a, new LoadReport(b, Math.max(1, c), a, level / 2, level)));
         Arbitrary<List<HeaderField>> headers =
                 Combinators.combine(texts, texts).as(HeaderField::new).list().ofMaxSize(8);
         Arbitrary<Long> lengths = Arbitraries.longs().greaterOrEqual(CallHeader.LENGTH_UNKNOWN);
