Run the other due deadlines when the action of one fails

Cause: found while reading the diff. An action that threw ended the round of the wheel, so that the other deadlines of that tick never came, and nothing was logged.

Change: the failure is logged and the round goes on.

Measured: DeadlineWheelTest.actionThatFailsHoldsBackNoOther fails without the change.

--- a/sequoianotch-core/src/main/java/org/sequoianotch/task/DeadlineWheel.java
+++ b/sequoianotch-core/src/main/java/org/sequoianotch/task/DeadlineWheel.java
@@ -3,6 +3,8 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -21,6 +23,8 @@
     /** Longest delay beyond the deadline, but for a busy executor. */
     public static final long SLACK_MS = 60;
 
+    private static final Logger LOG = LogManager.getLogger(DeadlineWheel.class);
+
     private static final long TICK_NS = TimeUnit.MILLISECONDS.toNanos(TICK_MS);
 
     /** Delays from 100 ms on are rounded up to a grid of 50 ms, so that one wake-up serves many of them. */
@@ -162,7 +166,16 @@
                 }
                 unlink(entry);
             }
-            entry.action.run();
+            run(entry.action);
+        }
+    }
+
+    /** An action that fails must not hold back the others that are due. */
+    private static void run(Runnable action) {
+        try {
+            action.run();
+        } catch (RuntimeException e) {
+            LOG.error("[node] The action of a deadline failed.", e);
         }
     }
 
--- a/sequoianotch-core/src/test/java/org/sequoianotch/task/DeadlineWheelTest.java
+++ b/sequoianotch-core/src/test/java/org/sequoianotch/task/DeadlineWheelTest.java
@@ -156,4 +156,18 @@
         assertThat(executor.tasks.size() - wakeUpsBefore).isLessThan(5);
         assertThat(scheduled).isLessThan(1_100);
     }
+
+    @Test
+    void actionThatFailsHoldsBackNoOther() {
+        AtomicInteger runs = new AtomicInteger();
+        wheel.add(5 * MS, () -> {
+            throw new IllegalStateException("thrown by the test");
+        });
+        wheel.add(5 * MS, runs::incrementAndGet);
+        executor.advanceMs(5 + LATEST_MS);
+        wheel.add(5 * MS, runs::incrementAndGet);
+        executor.advanceMs(5 + LATEST_MS);
+
+        assertThat(runs.get()).isEqualTo(2);
+    }
 }
--- a/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/link/FrameChannel.java
+++ b/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/link/FrameChannel.java
@@ -304,8 +304,7 @@
         double nowMs = clock.monotonicMs();
         long intervalMs = quiet ? QUIET_FACTOR * options.heartbeatMs() : options.heartbeatMs();
         // Traffic in both directions shows both sides that the other one lives. A connection that takes no more bytes
-        // is
-        // already being watched for silence.
+        // is already being watched for silence.
         if (nowMs - lastPingMs >= intervalMs && channel.isWritable() && !meter.isBusy(options.heartbeatMs())) {
             lastPingMs = nowMs;
             sendHeartbeat(new Frame.Ping(++pings));
