Cancel a sub-call with the call above in one place

Cause: found while reading the diff. The handler of routed requests repeated what the handler of backend servers did: find the call above, register a cancel action there, and remove it at the end.

Change: RequestContext registers the action when it makes the context of a sub-call and removes it in detach(); subCall() is a case of subRequest(). No change of behaviour.

--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/BackendHandler.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/BackendHandler.java
@@ -71,8 +71,6 @@
         double ownDeadlineMs = clock.monotonicMs() + timeoutMs;
         RequestContext context = parent.map(above -> above.subCall(ownDeadlineMs))
                 .orElseGet(() -> unknownContext(exchange, ownDeadlineMs));
-        Runnable cancel = () -> context.cancel(Failure.of(ErrorKind.CALLER_GONE, "The call above was cancelled."));
-        parent.ifPresent(above -> above.onCancel(cancel));
         exchange.onClose(
                 () -> context.cancel(Failure.of(ErrorKind.CALLER_GONE, "The backend server closed its connection.")));
         try {
@@ -81,7 +79,7 @@
             LOG.error("[call] A sub-call of request {} failed on a defect.", context.requestId(), e);
             exchange.abort();
         } finally {
-            parent.ifPresent(above -> above.removeCancelAction(cancel));
+            context.detach();
         }
     }
 
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/RequestContext.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/RequestContext.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
+import org.sequoianotch.error.ErrorKind;
 import org.sequoianotch.error.Failure;
 import org.sequoianotch.model.Criticality;
 import org.sequoianotch.model.LoadReport;
@@ -34,6 +35,8 @@
     private @Nullable Failure cancellation;
     private double lowestLevel = LoadReport.ADMIT_ALL;
     private boolean subCallFailed;
+    private final Runnable cancelWithAbove =
+            () -> cancel(Failure.of(ErrorKind.CALLER_GONE, "The call above was cancelled."));
 
     /**
      * Creates a context.
@@ -66,19 +69,28 @@
 
     /** Creates the context of a sub-call, which shares the allowance and passes on what it learns at once. */
     RequestContext subCall(double ownDeadlineAtMs) {
-        return new RequestContext(
-                requestId, criticality, depth, Math.min(deadlineAtMs, ownDeadlineAtMs), allowance, this);
+        return subRequest(requestId, Math.min(deadlineAtMs, ownDeadlineAtMs), allowance);
     }
 
     /**
-     * Creates the context of a sub-call that is a request of its own. It matters as much as the call above.
+     * Creates the context of a sub-call that is a request of its own. It matters as much as the call above and is
+     * cancelled with it until {@link #detach}.
      *
      * @param ownId the request; not null
      * @param ownDeadlineAtMs its deadline on the monotonic clock, in milliseconds
      * @param ownAllowance retries that may be used from there; not null
      */
     RequestContext subRequest(RequestId ownId, double ownDeadlineAtMs, RetryAllowance ownAllowance) {
-        return new RequestContext(ownId, criticality, depth, ownDeadlineAtMs, ownAllowance, this);
+        RequestContext context = new RequestContext(ownId, criticality, depth, ownDeadlineAtMs, ownAllowance, this);
+        onCancel(context.cancelWithAbove);
+        return context;
+    }
+
+    /** Ends the link to the call above, if there is one; to be called when a sub-call has ended. */
+    void detach() {
+        if (above != null) {
+            above.removeCancelAction(cancelWithAbove);
+        }
     }
 
     /**
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/RouteHandler.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/RouteHandler.java
@@ -104,10 +104,7 @@
         double startedAtMs = clock.monotonicMs();
         long timeoutMs = Math.min(terms.timeLeftMs(), route.timeoutMs());
         OutboundCall outbound = limits.outbound(exchange, table, terms, route, route.chooseTarget(random));
-        Optional<RequestContext> above = terms.parent().flatMap(contexts::find);
-        RequestContext context = newContext(outbound, terms, startedAtMs + timeoutMs, above);
-        Runnable cancel = () -> context.cancel(Failure.of(ErrorKind.CALLER_GONE, "The call above was cancelled."));
-        above.ifPresent(call -> call.onCancel(cancel));
+        RequestContext context = newContext(outbound, terms, startedAtMs + timeoutMs);
         Timeout deadline = timer.newTimeout(
                 timeout -> context.cancel(
                         Failure.of(ErrorKind.DEADLINE_IN_DOUBT, "The time limit of " + timeoutMs + " ms passed.")),
@@ -116,7 +113,7 @@
         exchange.onClose(() -> context.cancel(Failure.of(ErrorKind.CALLER_GONE, "The caller closed its connection.")));
         RunResult result = runner.runGuarded(exchange, outbound, context);
         deadline.cancel();
-        above.ifPresent(call -> call.removeCancelAction(cancel));
+        context.detach();
         journal.finish(new RequestSummary(
                 terms.requestId(),
                 outbound.route(),
@@ -128,10 +125,11 @@
     }
 
     /** A request of the instance on this host belongs to the call for which the instance makes it. */
-    private static RequestContext newContext(
-            OutboundCall outbound, CallerTerms terms, double deadlineAtMs, Optional<RequestContext> above) {
+    private RequestContext newContext(OutboundCall outbound, CallerTerms terms, double deadlineAtMs) {
         RetryAllowance allowance = RetryAllowance.of(outbound.route().retryAllowance());
-        return above.map(call -> call.subRequest(terms.requestId(), deadlineAtMs, allowance))
+        return terms.parent()
+                .flatMap(contexts::find)
+                .map(call -> call.subRequest(terms.requestId(), deadlineAtMs, allowance))
                 .orElseGet(() -> new RequestContext(
                         terms.requestId(), outbound.route().criticality(), 0, deadlineAtMs, allowance));
     }
