Use one piece of code for repeated waits, lines and set-up

Cause: found while reading the diff.

No change of behaviour.

Left as they are: equals and hashCode of the five name records, since a record cannot inherit them; the writer of the self-test and Packed of the tests, which differ in what they read.

--- a/sequoianotch-core/src/main/java/org/sequoianotch/model/LoadReport.java
+++ b/sequoianotch-core/src/main/java/org/sequoianotch/model/LoadReport.java
@@ -50,7 +50,7 @@
      * @return a fraction from 0 to 1
      */
     public double admittedFraction(Criticality criticality) {
-        return Math.clamp(admissionLevel - criticality.ordinal(), 0.0, 1.0);
+        return admittedAt(admissionLevel, criticality);
     }
 
     /**
@@ -60,7 +60,11 @@
      * @return a fraction from 0 to 1
      */
     public double admittedByInstance(Criticality criticality) {
-        return Math.clamp(instanceLevel - criticality.ordinal(), 0.0, 1.0);
+        return admittedAt(instanceLevel, criticality);
+    }
+
+    private static double admittedAt(double level, Criticality criticality) {
+        return Math.clamp(level - criticality.ordinal(), 0.0, 1.0);
     }
 
     /**
--- a/sequoianotch-core/src/main/java/org/sequoianotch/task/Signal.java
+++ b/sequoianotch-core/src/main/java/org/sequoianotch/task/Signal.java
@@ -24,11 +24,33 @@
      * Waits until a condition holds.
      *
      * @param condition checked before the wait and after each signal; must not block; not null
-     * @return true, always
      * @throws InterruptedException if the thread is interrupted while waiting
      */
-    public boolean await(BooleanSupplier condition) throws InterruptedException {
-        return await(condition, Long.MAX_VALUE);
+    public void await(BooleanSupplier condition) throws InterruptedException {
+        await(condition, Long.MAX_VALUE);
+    }
+
+    /**
+     * Waits until a condition holds, even if the thread is interrupted; the interrupt is kept for later.
+     *
+     * @param condition checked before the wait and after each signal; must not block; not null
+     * @param onInterrupt runs at each interrupt; not null
+     */
+    public void awaitUninterruptibly(BooleanSupplier condition, Runnable onInterrupt) {
+        boolean interrupted = false;
+        boolean waits = true;
+        while (waits) {
+            try {
+                await(condition);
+                waits = false;
+            } catch (InterruptedException e) {
+                interrupted = true;
+                onInterrupt.run();
+            }
+        }
+        if (interrupted) {
+            Thread.currentThread().interrupt();
+        }
     }
 
     /**
--- a/sequoianotch-core/src/main/java/org/sequoianotch/task/TaskThreads.java
+++ b/sequoianotch-core/src/main/java/org/sequoianotch/task/TaskThreads.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.Supplier;
 import org.apache.logging.log4j.LogManager;
@@ -43,18 +44,15 @@
      *
      * @param executor the executor; not null
      * @param deadlines ends the waits of these tasks; not null
-     * @return true if the executor carries tasks now
      */
-    public static boolean carryOn(ScheduledExecutorService executor, DeadlineWheel deadlines) {
+    public static void carryOn(ScheduledExecutorService executor, DeadlineWheel deadlines) {
         try {
             Method factory = Class.forName("java.lang.ThreadBuilders")
                     .getDeclaredMethod("newVirtualThread", Executor.class, String.class, int.class, Runnable.class);
             factory.setAccessible(true);
             carrier = new Carrier(executor, factory, deadlines, newBlockingThread());
-            return true;
         } catch (ReflectiveOperationException | RuntimeException e) {
             LOG.warn("[node] The Java runtime carries the tasks on threads of its own: {}", e.toString());
-            return false;
         }
     }
 
@@ -138,9 +136,15 @@
         if (present == null || !Thread.currentThread().isVirtual()) {
             return action.get();
         }
-        OneShot<Either<RuntimeException, Optional<T>>> result = new OneShot<>();
-        present.blocking().execute(() -> result.set(outcomeOf(action)));
-        return await(result).getOrElseThrow(failure -> failure).orElse(null);
+        AtomicReference<Either<RuntimeException, Optional<T>>> outcome = new AtomicReference<>();
+        Signal ended = new Signal();
+        present.blocking().execute(() -> {
+            outcome.set(outcomeOf(action));
+            ended.raise();
+        });
+        // An interrupt does not end the wait, because what the action does is not undone by leaving it.
+        ended.awaitUninterruptibly(() -> outcome.get() != null, () -> {});
+        return outcome.get().getOrElseThrow(failure -> failure).orElse(null);
     }
 
     private static <T> Either<RuntimeException, Optional<T>> outcomeOf(Supplier<T> action) {
@@ -150,20 +154,4 @@
             return Either.left(e);
         }
     }
-
-    /** An interrupt does not end the wait: what the action does is not undone by leaving it. */
-    private static <T> T await(OneShot<T> result) {
-        boolean interrupted = false;
-        while (true) {
-            try {
-                Optional<T> value = result.await(Long.MAX_VALUE);
-                if (interrupted) {
-                    Thread.currentThread().interrupt();
-                }
-                return value.orElseThrow();
-            } catch (InterruptedException e) {
-                interrupted = true;
-            }
-        }
-    }
 }
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/LogLines.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/LogLines.java
@@ -52,14 +52,8 @@
     }
 
     @Override
-    public synchronized void write(int oneByte) {
-        if (line.size() == 0) {
-            line.writeBytes(now());
-        }
-        line.write(oneByte);
-        if (oneByte == '\n') {
-            add();
-        }
+    public void write(int oneByte) {
+        write(new byte[] {(byte) oneByte}, 0, 1);
     }
 
     @Override
@@ -116,8 +110,9 @@
         target.write(next);
         long lost = dropped.getAndSet(0);
         if (lost > 0) {
-            target.write(("%s WARN [log] %d lines were dropped, because nobody read the output%n"
-                            .formatted(Instant.now().truncatedTo(ChronoUnit.MILLIS), lost))
+            target.write(now());
+            target.write("WARN [log] %d lines were dropped, because nobody read the output%n"
+                    .formatted(lost)
                     .getBytes(StandardCharsets.UTF_8));
         }
     }
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/CallerHandler.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/CallerHandler.java
@@ -70,7 +70,7 @@
         IdempotencyKey key = IdempotencyKey.mint(
                 surroundings.homeOfNewKeys(), surroundings.ledgerEpoch(), clock.nowMs(), surroundings.random());
         return ledger.grants(key)
-                ? WholeResponse.ofText(CREATED, "text/plain; charset=utf-8", key.text() + "\n")
+                ? WholeResponse.ofLine(CREATED, key.text())
                 : Problem.of(Failure.of(
                         ErrorKind.LEDGER_NOT_READY, "The ledger of " + key.home() + " did not grant a new key."));
     }
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/WholeResponse.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/WholeResponse.java
@@ -33,6 +33,17 @@
                 status, List.of(new HeaderField("Content-Type", contentType)), text.getBytes(StandardCharsets.UTF_8));
     }
 
+    /**
+     * Creates a response of plain text.
+     *
+     * @param status the HTTP status
+     * @param line the body without its line end; not null
+     * @return the response, never null
+     */
+    public static WholeResponse ofLine(int status, String line) {
+        return ofText(status, "text/plain; charset=utf-8", line + "\n");
+    }
+
     /**
      * Returns a copy with one more header.
      *
--- a/sequoianotch-policy/src/main/java/org/sequoianotch/policy/admission/DecisionCell.java
+++ b/sequoianotch-policy/src/main/java/org/sequoianotch/policy/admission/DecisionCell.java
@@ -73,19 +73,7 @@
      * @return the decision, never null
      */
     public Either<Failure, Permit> await(Runnable onInterrupt) {
-        boolean interrupted = false;
-        while (true) {
-            try {
-                decided.await(this::isDecided);
-                break;
-            } catch (InterruptedException e) {
-                interrupted = true;
-                onInterrupt.run();
-            }
-        }
-        if (interrupted) {
-            Thread.currentThread().interrupt();
-        }
+        decided.awaitUninterruptibly(this::isDecided, onInterrupt);
         return decision();
     }
 
