Start processes from one jar and an archive of linked classes

Cause: each start opened and scanned 46 jars (567 reads, 240 readlinks and 204 opens of files by strace), wrote Netty's library to a temporary file, loaded classes from an archive without linked classes and objects, and woke the compiler thread for each of its methods.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -7,17 +7,31 @@
 jdk=$(dirname "$(dirname "$(find_java)")")
 rm -rf target/runtime target/app
 mkdir -p target/app
-cp platform/target/sequoianotch-platform-*.jar platform/target/lib/*.jar target/app/
+cp platform/target/sequoianotch-platform-*-all.jar target/app/sequoianotch-platform.jar
+# Netty loads its library from this folder; from a jar it would write a copy to disk at each start.
+(cd target/app && "$jdk/bin/jar" -x -f sequoianotch-platform.jar META-INF/native && mv META-INF/native/*.so . && rm -r META-INF)
 "$jdk/bin/jlink" --output target/runtime --strip-debug --no-header-files --no-man-pages \
     --add-modules java.base,java.logging,java.management,java.desktop,java.sql,java.naming,java.xml,java.compiler,jdk.unsupported,jdk.net
-mv target/app/sequoianotch-platform-*.jar target/app/sequoianotch-platform.jar
 for role in node control; do
     cp "deploy/$role.jvm" "target/$role.jvm"
 done
-# The self-test loads what a process needs; the archive spares each start the loading and checking of these classes.
-target/runtime/bin/java -Xshare:dump -XX:+UseSerialGC -XX:+UseCompactObjectHeaders -Xmx128m -Xlog:disable
-target/runtime/bin/java @target/node.jvm -XX:ArchiveClassesAtExit=target/app.jsa \
+# The self-test loads what a process needs; the archive spares each start the loading, checking and linking of these
+# classes. It is made with G1, because other collectors do not store objects in it; every collector reads them. The
+# platform sets -Xshare:auto, which excludes the newer option AOTCache.
+java=target/runtime/bin/java
+options=target/training.options
+classes=target/training.classes
+cp target/node.jvm "$options"
+"$java" "@$options" -XX:DumpLoadedClassList="$classes" \
     -jar target/app/sequoianotch-platform.jar self-test --requests 500
+# Only the self-test parses a command line.
+sed -i '/^com\/github\/rvesse/d' "$classes"
+sed -i 's/^-XX:+UseSerialGC$/-XX:+UseG1GC/' "$options"
+"$java" "@$options" -Xshare:dump -XX:+AOTClassLinking -XX:SharedClassListFile="$classes" \
+    -XX:SharedArchiveFile=target/app.jsa -jar target/app/sequoianotch-platform.jar
+rm -f "$classes" "$options"
 for role in node control; do
     echo "-XX:SharedArchiveFile=target/app.jsa" >> "target/$role.jvm"
 done
+# Fails the build if the archive cannot be used.
+"$java" @target/node.jvm -Xshare:on -jar target/app/sequoianotch-platform.jar self-test --requests 1
