--- a/sequoianotch-core/src/main/java/org/sequoianotch/model/RequestId.java
+++ b/sequoianotch-core/src/main/java/org/sequoianotch/model/RequestId.java
@@ -15,6 +15,7 @@
  */
 public record RequestId(long high, long low) {
     private static final int HEX_LENGTH = 32;
+    private static final long FNV_PRIME = 0x100000001b3L;
 
     /** Checks that the identifier is not all zero, which W3C Trace Context forbids. */
     public RequestId {
@@ -43,13 +44,32 @@
         if (text.length() != HEX_LENGTH) {
             return Optional.empty();
         }
-        try {
-            long high = HexFormat.fromHexDigitsToLong(text, 0, HEX_LENGTH / 2);
-            long low = HexFormat.fromHexDigitsToLong(text, HEX_LENGTH / 2, HEX_LENGTH);
-            return high == 0 && low == 0 ? Optional.empty() : Optional.of(new RequestId(high, low));
-        } catch (NumberFormatException e) {
-            return Optional.empty();
+        // Checked first, because the exception for another character costs more than the rest of reading a request.
+        for (int i = 0; i < HEX_LENGTH; i++) {
+            if (!HexFormat.isHexDigit(text.charAt(i))) {
+                return Optional.empty();
+            }
+        }
+        long high = HexFormat.fromHexDigitsToLong(text, 0, HEX_LENGTH / 2);
+        long low = HexFormat.fromHexDigitsToLong(text, HEX_LENGTH / 2, HEX_LENGTH);
+        return high == 0 && low == 0 ? Optional.empty() : Optional.of(new RequestId(high, low));
+    }
+
+    /**
+     * Derives an identifier from any text. The same text gives the same identifier.
+     *
+     * @param text the text; not null
+     * @return the identifier, never null
+     */
+    public static RequestId hashOf(String text) {
+        // FNV-1a with 64 bits, once from each of two starting values.
+        long high = 0xcbf29ce484222325L;
+        long low = 0x9ae16a3b2f90404fL;
+        for (int i = 0; i < text.length(); i++) {
+            high = (high ^ text.charAt(i)) * FNV_PRIME;
+            low = (low ^ text.charAt(i)) * FNV_PRIME;
         }
+        return new RequestId(high, low | 1);
     }
 
     // Written out, because the methods that the Java runtime makes for records are slow until they are compiled.
