Leave the region only for a saving that is not within the spread of latencies

Cause: the average latency of an instance covers half a second, which is a handful of calls at one node, and a call that needs others takes two to three times as long at times. Such an average was often 60 ms above that of another region, which was enough to leave the own one.

Change: the saving has to be two mean deviations of the latency here as well, but at most half of that latency, so that an instance that turns slow is left at once. Instances that refuse or are gone are left as before.

Tried before: a fixed factor of two between the regions. It failed CrossRegionPriceTest, which asks for the other region where latencies do not vary; with the deviation alone an instance that turned slow was left too late (otherRegionIsUsedWhileTheInstanceHereIsSlow).

--- a/sequoianotch-policy/src/main/java/org/sequoianotch/policy/routing/InstanceStats.java
+++ b/sequoianotch-policy/src/main/java/org/sequoianotch/policy/routing/InstanceStats.java
@@ -33,6 +33,9 @@
     private final double firstSeenMs;
     private int inFlight;
     private double latencyMs;
+    /** Mean distance of the samples from the average, over the same time as the average. */
+    private double deviationMs;
+
     private double lowestLatencyMs = Double.POSITIVE_INFINITY;
     private long samples;
     private double sampledAtMs = Double.NEGATIVE_INFINITY;
@@ -95,6 +98,9 @@
     private void sample(double sampleMs, double lowestWeight, double nowMs) {
         double sinceMs = nowMs - sampledAtMs;
         double weight = Math.max(lowestWeight, 1 - Math.exp(-sinceMs / AVERAGING_MS));
+        if (samples > 0) {
+            deviationMs += weight * (Math.abs(sampleMs - latencyMs) - deviationMs);
+        }
         latencyMs += weight * (sampleMs - latencyMs);
         sampledAtMs = nowMs;
         samples++;
@@ -146,6 +152,10 @@
         return lowestLatencyMs;
     }
 
+    double deviationMs() {
+        return deviationMs;
+    }
+
     double unfadedLatencyMs() {
         return latencyMs;
     }
--- a/sequoianotch-policy/src/main/java/org/sequoianotch/policy/routing/ProtectiveSelector.java
+++ b/sequoianotch-policy/src/main/java/org/sequoianotch/policy/routing/ProtectiveSelector.java
@@ -40,6 +40,16 @@
     private static final double CROSS_REGION_ROUND_TRIP_MS = 40;
     /** Savings below this are within the noise of the averages. */
     private static final double LEAST_SAVING_MS = 10;
+
+    /**
+     * Another region must save this many mean deviations of the latency here. The average covers only the calls of half
+     * a second, so that it strays by one or two deviations while nothing is wrong.
+     */
+    private static final double CROSS_REGION_DEVIATIONS = 2;
+
+    /** A region that is twice as fast is used whatever the deviation, which is large while an instance turns slow. */
+    private static final double LARGEST_DOUBT_SHARE = 0.5;
+
     /** Wait of a caller whose request is refused, which is what a refused call costs. */
     private static final double REFUSAL_MS = 1_000;
     /** Critical calls serve as a probe only if no other call did so for this time. */
@@ -201,7 +211,8 @@
                 : lowestLatencyMs() + CROSS_REGION_ROUND_TRIP_MS;
         double savedMs = hereMs - thereMs - refusalCostMs(request.criticality(), there, nowMs);
         double priceMs = crossRegionPriceMsPerKib * (request.bodyBytes() / BYTES_PER_KIB);
-        return savedMs > priceMs + LEAST_SAVING_MS;
+        double doubtMs = Math.min(CROSS_REGION_DEVIATIONS * here.stats().deviationMs(), LARGEST_DOUBT_SHARE * hereMs);
+        return savedMs > priceMs + doubtMs + LEAST_SAVING_MS;
     }
 
     private static double refusalCostMs(Criticality criticality, Candidate candidate, double nowMs) {
--- a/sequoianotch-policy/src/test/java/org/sequoianotch/policy/routing/ProtectiveSelectorTest.java
+++ b/sequoianotch-policy/src/test/java/org/sequoianotch/policy/routing/ProtectiveSelectorTest.java
@@ -12,6 +12,8 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.sequoianotch.model.BackendState;
 import org.sequoianotch.model.Criticality;
 import org.sequoianotch.model.DataCentre;
@@ -142,6 +144,43 @@
         assertThat(selector.select(large, List.of(draining, far))).hasValue(far);
     }
 
+    /**
+     * Guards against traffic over regions on a calm day. An instance that makes calls of its own takes two or three
+     * times as long at times, without any trouble; another region does not serve its callers sooner.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5})
+    void otherRegionIsNotUsedForLatenciesThatVary(long seed) {
+        reset(1);
+        Instance far = instance(1, "lyon", "south", 0);
+        instances.add(far);
+        InstanceSelector selector = selector(PolicyMode.PROTECTIVE, seed, 0);
+        Random random = new Random(seed);
+        for (int i = 0; i < 2_000; i++) {
+            double served = random.nextInt(10) == 0 ? 450 : 100 + random.nextInt(150);
+            latencies.put(host(0), served);
+            latencies.put(far.host(), served + 40);
+            run(selector, Criticality.STANDARD, 1);
+            clock.advance(100);
+        }
+        assertThat(calls.getOrDefault(far.host(), 0)).isAtMost(20);
+    }
+
+    /** Guards against a region that keeps its callers although its only instance has become slow. */
+    @Test
+    void otherRegionIsUsedWhileTheInstanceHereIsSlow() {
+        reset(1);
+        Instance far = instance(1, "lyon", "south", 0);
+        instances.add(far);
+        latencies.put(host(0), 100.0);
+        latencies.put(far.host(), 140.0);
+        InstanceSelector selector = selector(PolicyMode.PROTECTIVE, 1, 0);
+        run(selector, Criticality.STANDARD, 200);
+        latencies.put(host(0), 600.0);
+        run(selector, Criticality.STANDARD, 100);
+        assertThat(calls.getOrDefault(far.host(), 0)).isGreaterThan(50);
+    }
+
     @Test
     void hostsAlreadyTriedAreLeftOut() {
         reset(1);
