Tell callers to come back when the route's time passed before their request ran

What callers saw: 504, which promises nothing, for requests that had waited for a slot until the timeout of their route and had reached no instance; a caller that has time left could not repeat a booking.

Cause: DEADLINE_BEFORE_RUN proves that the request has not run, but kept the status and the missing wait of a deadline that is the caller's own. The timeout of a route is often a fraction of that.

Change: its wait is a second, as for other refusals, and the adapter translates it to 503 with Retry-After. The kinds of failures that may have run keep 502 and 504 (statusThatPromisesIsOnlyGivenWhereItIsProved holds as it was).

HeaderDialectTest.failureThatProvesNotRunTellsWhenToComeBack failed before: 504 instead of 503.

--- a/sequoianotch-core/src/main/java/org/sequoianotch/error/ErrorKind.java
+++ b/sequoianotch-core/src/main/java/org/sequoianotch/error/ErrorKind.java
@@ -41,8 +41,8 @@
     NO_INSTANCE(503, Outcome.NOT_RUN, 2_000, "No serving instance of this service is in reach."),
     /** Every attempt was refused and no retry is left. */
     RETRIES_EXHAUSTED(503, Outcome.NOT_RUN, 2_000, "Every attempt was refused and no retry is left."),
-    /** The deadline passed before anything was sent. */
-    DEADLINE_BEFORE_RUN(504, Outcome.NOT_RUN, 0, "The deadline passed before the request was sent."),
+    /** The deadline passed before anything was sent. That of the route may be earlier than the caller's own. */
+    DEADLINE_BEFORE_RUN(504, Outcome.NOT_RUN, 1_000, "The deadline passed before the request was sent."),
     /** The deadline passed after the request was sent. */
     DEADLINE_IN_DOUBT(504, Outcome.UNKNOWN, 0, "The deadline passed after the request was sent."),
     /** A connection broke after the request was sent. */
