End a link properly when the event loop is shut down while it opens

Found in the read-through: handing the frames to the event loop stood before the try block, so that a rejected hand-over would have left the calls of the link without an end.

--- a/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/link/Link.java
+++ b/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/link/Link.java
@@ -48,12 +48,15 @@
     final void run(boolean sendsPings) {
         context.counters().countOpened();
         channel.establish(context.options(), sendsPings);
-        channel.deliverTo(this::receive);
         try {
+            channel.deliverTo(this::receive);
             channel.awaitEnd();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             channel.close("the link's thread was interrupted");
+        } catch (RuntimeException e) {
+            LOG.error("[peer] Link with {} failed on an internal error", peer, e);
+            channel.close("internal error: " + e);
         } finally {
             finish();
         }
