Register the link counters in one place, and remove a method that nothing calls

The adapter registered counters of links itself, one of them a second time, although PartMetrics.addLinks does so for a node. FrameChannel.take without a limit lost its last caller when frames went to the event loop.

--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/metrics/PartMetrics.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/metrics/PartMetrics.java
@@ -9,6 +9,8 @@
 import org.sequoianotch.membership.Membership;
 import org.sequoianotch.membership.MembershipCounters;
 import org.sequoianotch.protocol.link.LinkCounters;
+import org.sequoianotch.protocol.link.Transport;
+import org.sequoianotch.task.TaskThreads;
 
 /** Adds what the other parts of a node count to its metrics. This class is stateless. */
 public final class PartMetrics {
@@ -54,6 +56,27 @@
                 "sequoianotch_link_heartbeat_bytes_total",
                 "Bytes of heartbeats sent and received.",
                 counters::heartbeatBytes);
+        metrics.counter("sequoianotch_frames_sent_total", "Frames sent on links to other hosts.", counters::framesSent);
+        metrics.counter(
+                "sequoianotch_frames_received_total",
+                "Frames received on links to other hosts.",
+                counters::framesReceived);
+        metrics.counter("sequoianotch_link_flushes_total", "Writes of frames to links.", counters::flushes);
+    }
+
+    /**
+     * Adds what the event loops and tasks of the process count.
+     *
+     * @param metrics the metrics; not null
+     * @param transport the event loops; not null
+     */
+    public static void addEventLoops(NodeMetrics metrics, Transport transport) {
+        metrics.counter("sequoianotch_event_loop_turns_total", "Turns of the event loops.", transport::turns);
+        metrics.counter(
+                "sequoianotch_deadline_wake_ups_total",
+                "Turns of the event loops that a deadline caused.",
+                () -> transport.deadlines().wakeUps());
+        metrics.counter("sequoianotch_tasks_started_total", "Tasks started in this process.", TaskThreads::started);
     }
 
     /**
--- a/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/link/FrameChannel.java
+++ b/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/link/FrameChannel.java
@@ -120,13 +120,6 @@
         return frames;
     }
 
-    /** Takes the next frame; null at the end of the connection. */
-    @Nullable
-    Frame take() throws InterruptedException {
-        arrived.await(hasEntry);
-        return accept(queue.remove());
-    }
-
     /** Takes the next frame; null at the end of the connection or after the timeout. */
     @Nullable
     Frame take(long timeoutMs) throws InterruptedException {
