Replace a pooled connection that closed before the request was sent

Cause: a call takes a connection from the pool, and the instance's close arrives before the head of the request is passed to it. Nothing was sent, but the node reported connection_lost, so that the caller of a payment got 502 (unknown) instead of a second attempt or a 503 that allows one.

Change: the node takes the next connection, and reports no_instance, which proves that nothing was sent, if a new connection is closed the same way.

--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/InstanceServer.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/InstanceServer.java
@@ -143,16 +143,16 @@
         CallResult result = CallResult.FAILED;
         contexts.add(context);
         try {
-            Either<Failure, BackendConnection> connected = instance.client().connect();
-            if (connected.isLeft()) {
-                refuse(call, context, connected.getLeft(), instance.admission().load());
-                result = CallResult.OVERLOADED;
+            Either<Failure, BackendConnection> started = start(call, context, instance, permit);
+            if (started.isLeft()) {
+                result = resultOf(Either.left(started.getLeft()), context);
+                refuse(call, context, started.getLeft(), instance.admission().load());
                 return;
             }
-            BackendConnection connection = connected.get();
+            BackendConnection connection = started.get();
             Runnable close = connection::close;
             context.onCancel(close);
-            Either<Failure, Integer> status = exchange(call, context, instance, connection, permit);
+            Either<Failure, Integer> status = exchange(call, context, connection, instance);
             context.removeCancelAction(close);
             result = resultOf(status, context);
             if (status.isLeft()) {
@@ -200,20 +200,45 @@
         return failure.provesNotRun() ? failure : context.cancellation().orElse(failure);
     }
 
-    /** Sends the call over the connection; returns the status of the response, or the failure that ended the call. */
-    private Either<Failure, Integer> exchange(
-            IncomingCall call,
-            RequestContext context,
-            LocalInstance instance,
-            BackendConnection connection,
-            Permit permit)
+    /**
+     * Passes the head of the call to a connection. A pooled connection that the backend server has closed is replaced,
+     * because nothing was sent over it.
+     *
+     * @return the connection, or a failure that proves that nothing was sent
+     */
+    private Either<Failure, BackendConnection> start(
+            IncomingCall call, RequestContext context, LocalInstance instance, Permit permit)
             throws InterruptedException {
         CallHeader header = call.header();
-        if (context.cancellation().isPresent() || context.timeLeftMs(clock) <= 0) {
-            return Either.left(Failure.of(
-                    ErrorKind.DEADLINE_BEFORE_RUN,
-                    "The call was cancelled or its deadline passed before it was sent to the backend server."));
+        while (context.cancellation().isEmpty() && context.timeLeftMs(clock) > 0) {
+            Either<Failure, BackendConnection> connected = instance.client().connect();
+            if (connected.isLeft()) {
+                return connected;
+            }
+            BackendConnection connection = connected.get();
+            boolean started = connection.start(
+                    header.method(),
+                    header.path(),
+                    headerCodec.requestHeaders(header, instance.instanceId(), remainingMs(context)),
+                    header.bodyBytes(),
+                    remainingMs(context));
+            if (started) {
+                recordSent(context, header, instance, permit);
+                return connected;
+            }
+            connection.close();
+            if (!connection.isReused()) {
+                return Either.left(Failure.of(
+                        ErrorKind.NO_INSTANCE,
+                        "The backend server closed a new connection before the request was sent."));
+            }
         }
+        return Either.left(Failure.of(
+                ErrorKind.DEADLINE_BEFORE_RUN,
+                "The call was cancelled or its deadline passed before it was sent to the backend server."));
+    }
+
+    private void recordSent(RequestContext context, CallHeader header, LocalInstance instance, Permit permit) {
         LoadReport load = instance.admission().load();
         recorder.record(
                 context.requestId(),
@@ -221,17 +246,12 @@
                 () -> String.format(
                         "Sent to the backend server of %s after %.1f ms in the queue, with %d of %d calls in flight.",
                         header.service(), permit.waitedMs(), load.inFlight(), load.limit()));
-        boolean started = connection.start(
-                header.method(),
-                header.path(),
-                headerCodec.requestHeaders(header, instance.instanceId(), remainingMs(context)),
-                header.bodyBytes(),
-                remainingMs(context));
-        if (!started) {
-            return Either.left(Failure.of(
-                    ErrorKind.CONNECTION_LOST,
-                    "The backend server closed the connection before the request was sent."));
-        }
+    }
+
+    /** Sends the body and forwards the response; returns its status, or the failure that ended the call. */
+    private Either<Failure, Integer> exchange(
+            IncomingCall call, RequestContext context, BackendConnection connection, LocalInstance instance)
+            throws InterruptedException {
         Either<Failure, Void> sent = sendBody(call, context, connection);
         if (sent.isLeft()) {
             return Either.left(sent.getLeft());
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/BackendClient.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/BackendClient.java
@@ -129,6 +129,7 @@
     }
 
     void returnToPool(BackendConnection connection) {
+        connection.markReused();
         connection.setIdleSinceMs(clock.monotonicMs());
         synchronized (idle) {
             if (closed) {
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/BackendConnection.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/BackendConnection.java
@@ -34,6 +34,7 @@
     private boolean reusable;
     private boolean requestComplete;
     private boolean headRequest;
+    private boolean reused;
     private volatile double idleSinceMs;
     private volatile double maxIdleMs = BackendClient.DEFAULT_MAX_IDLE_MS;
 
@@ -81,6 +82,19 @@
         return !queue.isEmpty();
     }
 
+    /**
+     * Returns whether an earlier call used the connection. The backend server may close such a connection at any time.
+     *
+     * @return false if the connection was opened for the current call
+     */
+    public boolean isReused() {
+        return reused;
+    }
+
+    void markReused() {
+        reused = true;
+    }
+
     double idleSinceMs() {
         return idleSinceMs;
     }
