Keep background tasks running after an unexpected exception

Here it ended a thread without notice: the thread that sends to a peer of the control group, the ticks of the group and of its formation, the check of the instances' leases. The ledger host repeated a failing step without a pause. One way to such an exception: a node announces at most eight instances, so a ninth service in the heartbeats on a host made each later announcement fail, and other nodes learned of no drain and no ended lease of that host.

Change: TaskThreads.startLoop repeats a step, logs what it throws and continues after a pause. A request to a peer that ends this way counts as failed. A ninth service on a host is rejected.

--- a/sequoianotch-control/src/main/java/org/sequoianotch/control/ControlGroup.java
+++ b/sequoianotch-control/src/main/java/org/sequoianotch/control/ControlGroup.java
@@ -65,6 +65,10 @@
     private final List<Consumer<TemplateTexts>> listeners = new CopyOnWriteArrayList<>();
     private final List<Thread> threads = new CopyOnWriteArrayList<>();
     private volatile @Nullable RunningMember running;
+    /** Time of the last contact with the group as a voter. Written by the formation task after the start. */
+    private volatile double contactAtMs;
+    /** Highest revision that the listeners were notified of. Written by the listener task after the start. */
+    private volatile long notifiedRevision;
 
     private record RunningMember(MemberStore store, RaftMember raft, PeerTasks tasks, MemberAdmission admission) {}
 
@@ -111,11 +115,12 @@
         if (running != null) {
             throw new IllegalStateException("the control group member is already started");
         }
-        RunningMember started = open();
-        running = started;
-        startThread("control-tick", () -> tickLoop(started));
-        startThread("control-formation", this::formationLoop);
-        startThread("control-listeners", this::listenerLoop);
+        running = open();
+        contactAtMs = clock.monotonicMs();
+        notifiedRevision = 0;
+        startLoop("control-tick", this::tick);
+        startLoop("control-formation", this::updateMembership);
+        startLoop("control-listeners", this::notifyListeners);
     }
 
     private RunningMember open() {
@@ -156,39 +161,33 @@
         }
     }
 
-    private interface Loop {
-        void run() throws InterruptedException;
+    private void startLoop(String name, TaskThreads.Step step) {
+        threads.add(TaskThreads.startLoop(name, () -> running != null, tickIntervalMs(), step));
     }
 
-    private void startThread(String name, Loop loop) {
-        threads.add(TaskThreads.start(name, () -> {
-            try {
-                loop.run();
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-        }));
+    private long tickIntervalMs() {
+        return Math.max(1, options.settings().electionTimeoutMs() / TICKS_PER_ELECTION_TIMEOUT);
     }
 
-    private void tickLoop(RunningMember first) throws InterruptedException {
-        long intervalMs = Math.max(1, options.settings().electionTimeoutMs() / TICKS_PER_ELECTION_TIMEOUT);
-        RunningMember current = first;
-        while (running != null) {
-            current.raft().tick();
-            current.tasks().refresh();
-            if (options.formation().discardsCorruptFolder()
-                    && !current.raft().status().fault().isEmpty()) {
-                current = reopen(current);
-            }
-            clock.sleep(intervalMs);
+    private void tick() throws InterruptedException {
+        RunningMember current = running;
+        if (current == null) {
+            return;
         }
+        current.raft().tick();
+        current.tasks().refresh();
+        if (options.formation().discardsCorruptFolder()
+                && !current.raft().status().fault().isEmpty()) {
+            reopen(current);
+        }
+        clock.sleep(tickIntervalMs());
     }
 
     /**
      * Reopens the data folder after a failure, once that succeeds. The state is read from disk again, because it may
      * differ from the state in memory after a failed write.
      */
-    private RunningMember reopen(RunningMember failed) throws InterruptedException {
+    private void reopen(RunningMember failed) throws InterruptedException {
         failed.tasks().close();
         closeQuietly(failed);
         while (running != null) {
@@ -198,7 +197,7 @@
                 synchronized (this) {
                     if (running != null) {
                         running = opened;
-                        return opened;
+                        return;
                     }
                 }
                 closeQuietly(opened);
@@ -206,7 +205,6 @@
                 LOGGER.warn("[control] Failed to reopen the data folder; retrying: {}", e.getMessage());
             }
         }
-        return failed;
     }
 
     private static void closeQuietly(RunningMember closing) {
@@ -218,41 +216,36 @@
         }
     }
 
-    private void formationLoop() throws InterruptedException {
-        double contactAtMs = clock.monotonicMs();
+    private void updateMembership() throws InterruptedException {
         RunningMember current = running;
-        while (current != null) {
-            double nowMs = clock.monotonicMs();
-            if (current.raft().isVoter() && current.raft().status().inContact()) {
-                contactAtMs = nowMs;
-            }
-            // A member that was removed while unreachable gets no requests, so it requests admission again.
-            boolean lostContact = options.formation().removeUnresponsiveAfterMs() > 0
-                    && nowMs - contactAtMs
-                            > LOST_CONTACT_ELECTION_TIMEOUTS
-                                    * options.settings().electionTimeoutMs();
-            try {
-                if (!current.raft().isVoter() || lostContact) {
-                    current.admission().formOrJoin();
-                } else {
-                    current.admission().removeUnresponsive();
-                }
-            } catch (IllegalArgumentException e) {
-                LOGGER.warn("[control] A control host sent a malformed response: {}", e.getMessage());
+        if (current == null) {
+            return;
+        }
+        double nowMs = clock.monotonicMs();
+        if (current.raft().isVoter() && current.raft().status().inContact()) {
+            contactAtMs = nowMs;
+        }
+        // A member that was removed while unreachable gets no requests, so it requests admission again.
+        boolean lostContact = options.formation().removeUnresponsiveAfterMs() > 0
+                && nowMs - contactAtMs
+                        > LOST_CONTACT_ELECTION_TIMEOUTS * options.settings().electionTimeoutMs();
+        try {
+            if (!current.raft().isVoter() || lostContact) {
+                current.admission().formOrJoin();
+            } else {
+                current.admission().removeUnresponsive();
             }
-            clock.sleep(Math.max(1, options.settings().electionTimeoutMs() / 2));
-            current = running;
+        } catch (IllegalArgumentException e) {
+            LOGGER.warn("[control] A control host sent a malformed response: {}", e.getMessage());
         }
+        clock.sleep(Math.max(1, options.settings().electionTimeoutMs() / 2));
     }
 
-    private void listenerLoop() throws InterruptedException {
-        long known = 0;
-        while (running != null) {
-            TemplateTexts newest = revisions.await(known, LISTENER_WAIT_MS);
-            if (newest.revision() > known) {
-                known = newest.revision();
-                listeners.forEach(listener -> notifyListener(listener, newest));
-            }
+    private void notifyListeners() throws InterruptedException {
+        TemplateTexts newest = revisions.await(notifiedRevision, LISTENER_WAIT_MS);
+        if (newest.revision() > notifiedRevision) {
+            notifiedRevision = newest.revision();
+            listeners.forEach(listener -> notifyListener(listener, newest));
         }
     }
 
--- a/sequoianotch-control/src/main/java/org/sequoianotch/control/PeerTasks.java
+++ b/sequoianotch-control/src/main/java/org/sequoianotch/control/PeerTasks.java
@@ -2,6 +2,7 @@
 
 import io.vavr.control.Either;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -23,6 +24,8 @@
 
     /** A state change ends the wait at once; the limit bounds the delay if a notification is missed. */
     private static final long IDLE_WAIT_MS = 1_000;
+    /** Shorter than the heartbeat interval, so that one exception does not cost the leader its lease. */
+    private static final long PAUSE_AFTER_FAILURE_MS = 20;
 
     private final RaftMember member;
     private final PeerRequester requester;
@@ -47,8 +50,7 @@
                 threads.remove(id);
             }
         });
-        currentPeers.forEach((id, peer) ->
-                threads.computeIfAbsent(id, key -> TaskThreads.start("control-peer-" + peer.host(), () -> run(peer))));
+        currentPeers.forEach((id, peer) -> threads.computeIfAbsent(id, key -> start(peer)));
     }
 
     void close() {
@@ -56,40 +58,51 @@
         threads.clear();
     }
 
-    private void run(Member peer) {
+    private Thread start(Member peer) {
+        return TaskThreads.startLoop(
+                "control-peer-" + peer.host(), () -> true, PAUSE_AFTER_FAILURE_MS, () -> sendNext(peer));
+    }
+
+    private void sendNext(Member peer) throws InterruptedException {
+        Optional<OutgoingRequest> next = member.awaitNextRequest(peer.id(), IDLE_WAIT_MS);
+        if (next.isPresent()) {
+            exchange(next.get());
+        }
+    }
+
+    private void exchange(OutgoingRequest outgoing) {
+        boolean replied = false;
         try {
-            while (!Thread.currentThread().isInterrupted()) {
-                var next = member.awaitNextRequest(peer.id(), IDLE_WAIT_MS);
-                // The address in the log dates from the admission of the member; the directory has the current one.
-                next.ifPresent(outgoing -> send(directory.hosts().getOrDefault(peer.host(), peer.address()), outgoing));
+            replied = send(outgoing);
+        } finally {
+            if (!replied) {
+                member.onRequestFailed(outgoing);
             }
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
         }
     }
 
-    private void send(String address, OutgoingRequest outgoing) {
-        byte[] payload = new ControlRequest.RaftRequest(outgoing.peer().id(), outgoing.request()).toBytes();
+    /** Sends a request and processes the reply; returns false if there was none. */
+    private boolean send(OutgoingRequest outgoing) {
+        Member peer = outgoing.peer();
+        // The address in the log dates from the admission of the member; the directory has the current one.
+        String address = directory.hosts().getOrDefault(peer.host(), peer.address());
+        byte[] payload = new ControlRequest.RaftRequest(peer.id(), outgoing.request()).toBytes();
         Either<Failure, byte[]> response = requester
                 .request(address, Topic.CONTROL, payload, requestTimeoutMs)
                 .flatMap(ControlRequest::decodeResponse);
         if (response.isLeft()) {
-            member.onRequestFailed(outgoing);
-            return;
+            return false;
         }
         try {
             if (GroupMessage.decode(new Decoder(response.get())) instanceof GroupMessage.Reply reply) {
                 logDeclined(outgoing, reply);
                 member.onReply(outgoing, reply);
-                return;
+                return true;
             }
         } catch (IllegalArgumentException e) {
-            LOGGER.warn(
-                    "[control] Host {} sent a malformed reply: {}",
-                    outgoing.peer().host(),
-                    e.getMessage());
+            LOGGER.warn("[control] Host {} sent a malformed reply: {}", peer.host(), e.getMessage());
         }
-        member.onRequestFailed(outgoing);
+        return false;
     }
 
     private static void logDeclined(OutgoingRequest outgoing, GroupMessage.Reply reply) {
--- a/sequoianotch-control/src/test/java/org/sequoianotch/control/ControlGroupTest.java
+++ b/sequoianotch-control/src/test/java/org/sequoianotch/control/ControlGroupTest.java
@@ -92,6 +92,33 @@
         }
     }
 
+    /**
+     * An unexpected exception ended the thread that sends to a peer, and the member never sent to that peer again. Once
+     * it had happened on every link, no member could lead.
+     */
+    @Test
+    void groupSurvivesAnUnexpectedExceptionOnEachLink() {
+        try (ControlHosts hosts = new ControlHosts(folder, 3)) {
+            hosts.leader();
+            for (HostId from : hosts.groups.keySet()) {
+                for (HostId to : hosts.groups.keySet()) {
+                    if (!from.equals(to)) {
+                        hosts.network.linksThrowingOnce.add(from + ">" + to);
+                    }
+                }
+            }
+            ControlHosts.await("an exception on each link", hosts.network.linksThrowingOnce::isEmpty);
+            ChangeRequest request = change("c1", "ana", 1_000, 0);
+
+            assertThat(ControlHosts.applyWithRetries(
+                            () -> hosts.group(hosts.leader()).apply(request)))
+                    .isEqualTo(new Accepted(1));
+            for (ControlGroup group : hosts.groups.values()) {
+                ControlHosts.await("the change on every host", () -> group.revision() == 1);
+            }
+        }
+    }
+
     @Test
     void restartOfAllHostsRestoresTheState() {
         try (ControlHosts hosts = new ControlHosts(folder, 3)) {
--- a/sequoianotch-control/src/test/java/org/sequoianotch/control/LocalNetwork.java
+++ b/sequoianotch-control/src/test/java/org/sequoianotch/control/LocalNetwork.java
@@ -18,6 +18,9 @@
     /** Hosts whose next response to a change is lost after the change was applied. */
     final Set<String> hostsLosingChangeResponses = ConcurrentHashMap.newKeySet();
 
+    /** Links, written as {@code from>to}, whose next request ends with an unexpected exception. */
+    final Set<String> linksThrowingOnce = ConcurrentHashMap.newKeySet();
+
     final AtomicLong byteCount = new AtomicLong();
     final AtomicLong requestCount = new AtomicLong();
     private final Map<String, PeerRequestHandler> handlers = new ConcurrentHashMap<>();
@@ -32,6 +35,9 @@
 
     PeerRequester requester(String from) {
         return (address, topic, payload, timeoutMs) -> {
+            if (linksThrowingOnce.remove(from + ">" + address)) {
+                throw new IllegalStateException("an unexpected exception of the network");
+            }
             PeerRequestHandler handler = handlers.get(address);
             boolean cut = !from.equals(address) && (isolatedHosts.contains(from) || isolatedHosts.contains(address));
             if (handler == null || cut || topic != Topic.CONTROL) {
--- a/sequoianotch-core/src/main/java/org/sequoianotch/task/TaskThreads.java
+++ b/sequoianotch-core/src/main/java/org/sequoianotch/task/TaskThreads.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.concurrent.atomic.LongAdder;
 import java.util.concurrent.locks.LockSupport;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -89,6 +90,53 @@
         return thread;
     }
 
+    /** One step of a loop. */
+    @FunctionalInterface
+    public interface Step {
+        /**
+         * Runs the step.
+         *
+         * @throws InterruptedException if the thread is interrupted, which ends the loop
+         */
+        void run() throws InterruptedException;
+    }
+
+    /**
+     * Starts a task that repeats a step until it is told to end or its thread is interrupted. A step that throws is
+     * logged and repeated after a pause, because a loop that ended unnoticed would leave its work undone for the rest
+     * of the process's life.
+     *
+     * @param name name of the thread; not null
+     * @param continues checked before each step; the loop ends when it returns false; not null
+     * @param pauseAfterFailureMs pause after a step that threw, in milliseconds; positive
+     * @param step the step, which waits until it is due by itself; not null
+     * @return the thread, never null
+     */
+    public static Thread startLoop(String name, BooleanSupplier continues, long pauseAfterFailureMs, Step step) {
+        return start(name, () -> {
+            try {
+                while (continues.getAsBoolean() && !Thread.currentThread().isInterrupted()) {
+                    if (!runLogged(name, step)) {
+                        sleep(pauseAfterFailureMs);
+                    }
+                }
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+    }
+
+    /** Returns false if the step threw. Errors are included, such as a stack overflow caused by a deep structure. */
+    private static boolean runLogged(String name, Step step) throws InterruptedException {
+        try {
+            step.run();
+            return true;
+        } catch (RuntimeException | Error e) {
+            LOG.error("[node] A step of the task {} failed with an unexpected exception; the task continues.", name, e);
+            return false;
+        }
+    }
+
     /**
      * Returns the number of tasks that were started in this process.
      *
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/InstanceRegistry.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/InstanceRegistry.java
@@ -48,7 +48,8 @@
      *
      * @param heartbeat the heartbeat; not null
      * @return true if it was the newest one of the newest incarnation; false if it was out of date and ignored
-     * @throws IllegalArgumentException if a value of the heartbeat is out of range
+     * @throws IllegalArgumentException if a value of the heartbeat is out of range, or if the host has too many
+     *     instances of other services
      */
     public synchronized boolean recordHeartbeat(InstanceHeartbeat heartbeat) {
         Announcement announcement = new Announcement(
@@ -66,6 +67,11 @@
                     known.startedAtMs());
             return false;
         }
+        if (known != null && known.startedAtMs() != heartbeat.startedAtMs()) {
+            // A later incarnation does not share the connections and calls of the previous one.
+            instances.remove(heartbeat.service());
+        }
+        instances.announce(announcement);
         current.put(
                 heartbeat.service(),
                 new Incarnation(
@@ -74,11 +80,6 @@
                         heartbeat.sequence(),
                         clock.monotonicMs(),
                         false));
-        if (known != null && known.startedAtMs() != heartbeat.startedAtMs()) {
-            // A later incarnation does not share the connections and calls of the previous one.
-            instances.remove(heartbeat.service());
-        }
-        instances.announce(announcement);
         return true;
     }
 
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/LocalInstances.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/LocalInstances.java
@@ -30,6 +30,8 @@
 public final class LocalInstances {
     private static final Logger LOG = LogManager.getLogger(LocalInstances.class);
     private static final int CONNECT_TIMEOUT_MS = 500;
+    /** A host has one backend server with few services; members are announced with at most this many instances. */
+    static final int MAX_INSTANCES = 8;
 
     private final NodeLocation location;
     private final InetAddress backendAddress;
@@ -88,6 +90,7 @@
      *
      * @param announcement the announcement; not null
      * @return the duration of the lease, in milliseconds
+     * @throws IllegalArgumentException if the service is a new one and there are {@link #MAX_INSTANCES} others
      */
     public synchronized long announce(Announcement announcement) {
         LocalInstance known = instances.get(announcement.service());
@@ -107,6 +110,10 @@
         }
         if (known != null) {
             known.client().close();
+        } else if (instances.size() >= MAX_INSTANCES) {
+            throw new IllegalArgumentException("the instance of " + announcement.service()
+                    + " is one too many; this host has instances of " + instances.keySet() + ", and the limit is "
+                    + MAX_INSTANCES);
         }
         instances.put(announcement.service(), create(announcement, leaseUntilMs));
         LOG.info(
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/ledger/LedgerHost.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/ledger/LedgerHost.java
@@ -15,6 +15,7 @@
 import org.sequoianotch.error.Failure;
 import org.sequoianotch.protocol.link.PeerRequestHandler;
 import org.sequoianotch.protocol.link.PeerRequester;
+import org.sequoianotch.task.TaskThreads;
 import org.sequoianotch.time.Clock;
 
 /**
@@ -140,7 +141,10 @@
 
     /** Starts the background work on a virtual thread: recovery, removal of expired claims, and compaction. */
     public void start() {
-        Thread.ofVirtual().name("ledger-host").start(this::runTicks);
+        TaskThreads.startLoop("ledger-host", () -> !closed, TICK_MS, () -> {
+            tick();
+            clock.sleep(TICK_MS);
+        });
     }
 
     /**
@@ -382,18 +386,4 @@
     private static Failure fileFailure() {
         return Failure.of(ErrorKind.INTERNAL, "The claim file of the ledger host failed.");
     }
-
-    private void runTicks() {
-        while (!closed) {
-            try {
-                tick();
-                clock.sleep(TICK_MS);
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-                return;
-            } catch (RuntimeException e) {
-                LOG.error("[ledger] The background work of the ledger host failed", e);
-            }
-        }
-    }
 }
--- a/sequoianotch-daemon/src/test/java/org/sequoianotch/daemon/call/InstanceRegistryTest.java
+++ b/sequoianotch-daemon/src/test/java/org/sequoianotch/daemon/call/InstanceRegistryTest.java
@@ -1,6 +1,7 @@
 package org.sequoianotch.daemon.call;
 
 import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
@@ -124,4 +125,27 @@
 
         assertThat(heartbeat("i-2", 100, 2, BackendState.SERVING)).isTrue();
     }
+
+    /**
+     * A node announces at most eight instances to the other nodes. With one more, each later announcement failed, so
+     * that other nodes no longer learned of drains and ended leases.
+     */
+    @Test
+    void heartbeatsOfTooManyServicesDoNotAffectTheOthers() {
+        heartbeat("i-1", 100, 1, BackendState.SERVING);
+        for (int i = 0; i < 10; i++) {
+            InstanceHeartbeat other = new InstanceHeartbeat(
+                    "other-" + i, 100, 1, ServiceName.of("other" + i), 9_000 + i, 20, BackendState.SERVING);
+            if (i < LocalInstances.MAX_INSTANCES - 1) {
+                assertThat(registry.recordHeartbeat(other)).isTrue();
+            } else {
+                assertThrows(IllegalArgumentException.class, () -> registry.recordHeartbeat(other));
+            }
+        }
+
+        assertThat(instances.announced()).hasSize(LocalInstances.MAX_INSTANCES);
+        assertThat(heartbeat("i-1", 100, 2, BackendState.DRAINING)).isTrue();
+        assertThat(announced.getFirst()).isEqualTo(BackendState.SERVING);
+        assertThat(announced).contains(BackendState.DRAINING);
+    }
 }
--- a/sequoianotch-membership/src/main/java/org/sequoianotch/membership/Membership.java
+++ b/sequoianotch-membership/src/main/java/org/sequoianotch/membership/Membership.java
@@ -102,7 +102,11 @@
     public Either<Failure, String> start() {
         Either<Failure, String> started = startReceiving();
         started.peek(address -> {
-            tickThread = TaskThreads.start("member-" + options.host(), this::runTicks);
+            long tickMs = Math.clamp(options.gossipIntervalMs() / 4, 1, MAX_TICK_MS);
+            tickThread = TaskThreads.startLoop("member-" + options.host(), () -> !closed, tickMs, () -> {
+                tick();
+                clock.sleep(tickMs);
+            });
         });
         return started;
     }
@@ -112,22 +116,6 @@
         return transport.start(this::receive);
     }
 
-    private void runTicks() {
-        long tickMs = Math.clamp(options.gossipIntervalMs() / 4, 1, MAX_TICK_MS);
-        try {
-            while (!closed) {
-                try {
-                    tick();
-                } catch (RuntimeException e) {
-                    LOG.error("[member] A step of the membership failed", e);
-                }
-                clock.sleep(tickMs);
-            }
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-    }
-
     /** Runs everything that is due now. */
     void tick() {
         List<Runnable> work;
