Release connections to instances that send bytes without end

Cause: an instance in trouble may send bytes that are no response, without end, until its caller closes the connection. Informational responses without end held the call, its slot and its connection until the route's timeout. So did the body of a refusal, of which only the head matters. Bytes after a complete response, or on an idle connection, were read without end, because an idle connection was only checked when the next call took it, and the one used last is taken first.

Change: at most 16 informational responses precede a response; the body of a refusal is read for at most 64 KiB and 50 ms, then the connection is closed; bytes on an idle connection close it; idle connections that have expired are closed when another one is returned.

--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/InstanceServer.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/InstanceServer.java
@@ -40,6 +40,10 @@
     private static final int SERVER_ERROR = 500;
     /** Interval of the check for an early response while the backend server does not read the request body. */
     private static final long WRITABLE_POLL_MS = 20;
+    /** A body that is not forwarded is read only for the reuse of its connection; a new one costs less than this. */
+    private static final long MAX_DISCARDED_BYTES = 65_536;
+
+    private static final long MAX_DISCARD_MS = 50;
 
     private final LocalInstances instances;
     private final ContextRegistry contexts;
@@ -280,8 +284,10 @@
                 }
                 return forwardResponse(call, context, instance, connection, head.get());
             }
-            Either<Failure, Void> skipped = discardBody(connection, context);
             if (info.belongsToCall()) {
+                if (!discardBody(connection, Math.min(MAX_DISCARD_MS, remainingMs(context)))) {
+                    connection.close();
+                }
                 String detail = "The instance rejected the call with status "
                         + head.get().status() + " and stated that the call did not run.";
                 return Either.left(Failure.of(ErrorKind.INSTANCE_REFUSED, detail));
@@ -289,23 +295,28 @@
             LOG.warn(
                     "[call] Discarded a response to an earlier request while waiting for the response to request {}.",
                     context.requestId());
-            if (skipped.isLeft()) {
-                return Either.left(skipped.getLeft());
+            if (!discardBody(connection, remainingMs(context))) {
+                return Either.left(Failure.of(
+                        ErrorKind.BACKEND_CUT_ANSWER,
+                        "The instance sent a response to an earlier request that did not end within "
+                                + MAX_DISCARDED_BYTES + " bytes and the time that was left."));
             }
         }
     }
 
-    private Either<Failure, Void> discardBody(BackendConnection connection, RequestContext context)
-            throws InterruptedException {
-        while (true) {
-            Either<Failure, Optional<byte[]>> part = connection.readResponseBody(remainingMs(context));
-            if (part.isLeft()) {
-                return Either.left(part.getLeft());
-            }
-            if (part.get().isEmpty()) {
-                return Either.right(null);
+    /** Reads the rest of a body; returns false if it is too long, incomplete or takes too long. */
+    private boolean discardBody(BackendConnection connection, long timeoutMs) throws InterruptedException {
+        double endMs = clock.monotonicMs() + timeoutMs;
+        long discardedBytes = 0;
+        while (discardedBytes <= MAX_DISCARDED_BYTES && clock.monotonicMs() < endMs) {
+            Either<Failure, Optional<byte[]>> part =
+                    connection.readResponseBody((long) Math.ceil(endMs - clock.monotonicMs()));
+            if (part.isLeft() || part.get().isEmpty()) {
+                return part.isRight();
             }
+            discardedBytes += part.get().get().length;
         }
+        return false;
     }
 
     private Either<Failure, Void> sendBody(IncomingCall call, RequestContext context, BackendConnection connection)
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/BackendClient.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/BackendClient.java
@@ -106,7 +106,9 @@
         InboundQueue queue = new InboundQueue(channel);
         ChannelWriter writer = new ChannelWriter(channel);
         BackendConnection connection = new BackendConnection(this, channel, queue, writer, acceptsCloseDelimitedBody);
-        channel.pipeline().addLast(new HttpPartDecoder(queue, writer, () -> {}));
+        channel.pipeline()
+                .addFirst(connection.idleGuard())
+                .addLast(new HttpPartDecoder(queue, writer, () -> removeFromPool(connection)));
         if (!channel.isActive()) {
             queue.put(new HttpPart.Closed("the connection was closed immediately after it was opened"));
         }
@@ -120,6 +122,7 @@
                 double idleMs = clock.monotonicMs() - connection.idleSinceMs();
                 // Data that arrived while no request was pending must not be read as the response to the next one.
                 if (connection.isOpen() && connection.hasNoUnreadInput() && idleMs < connection.maxIdleMs()) {
+                    connection.endIdle();
                     return connection;
                 }
                 connection.close();
@@ -129,15 +132,29 @@
     }
 
     void returnToPool(BackendConnection connection) {
-        connection.markReused();
-        connection.setIdleSinceMs(clock.monotonicMs());
+        double nowMs = clock.monotonicMs();
         synchronized (idle) {
-            if (closed) {
-                connection.close();
-            } else {
+            closeExpired(nowMs);
+            if (!closed && connection.startIdle(nowMs)) {
                 idle.addLast(connection);
+                return;
             }
         }
+        connection.close();
+    }
+
+    /** The connection that was used last is taken first, so that those that are not needed remain until they expire. */
+    private void closeExpired(double nowMs) {
+        while (!idle.isEmpty()
+                && nowMs - idle.peekFirst().idleSinceMs() >= idle.peekFirst().maxIdleMs()) {
+            idle.pollFirst().close();
+        }
+    }
+
+    private void removeFromPool(BackendConnection connection) {
+        synchronized (idle) {
+            idle.remove(connection);
+        }
     }
 
     /** Closes the idle connections. Connections in use are closed when they are released. */
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/BackendConnection.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/BackendConnection.java
@@ -2,6 +2,9 @@
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandler;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpRequest;
@@ -12,9 +15,12 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
 import io.vavr.control.Either;
 import java.util.List;
 import java.util.Optional;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.sequoianotch.error.ErrorKind;
 import org.sequoianotch.error.Failure;
 import org.sequoianotch.protocol.HeaderField;
@@ -26,15 +32,20 @@
  * <p>This class is not thread-safe, except for {@link #close}, which other threads may call to cancel the call.
  */
 public final class BackendConnection {
+    private static final Logger LOG = LogManager.getLogger(BackendConnection.class);
+
     private final BackendClient client;
     private final Channel channel;
     private final InboundQueue queue;
     private final ChannelWriter writer;
     private final boolean acceptsCloseDelimitedBody;
-    private boolean reusable;
+    private volatile boolean reusable;
     private boolean requestComplete;
     private boolean headRequest;
     private boolean reused;
+    /** Whether the connection is in the pool, so that no response can be due on it. */
+    private volatile boolean idle;
+
     private volatile double idleSinceMs;
     private volatile double maxIdleMs = BackendClient.DEFAULT_MAX_IDLE_MS;
 
@@ -91,16 +102,40 @@
         return reused;
     }
 
-    void markReused() {
+    /** Marks the connection as pooled; returns false if it has received bytes that belong to no request. */
+    boolean startIdle(double nowMs) {
+        idleSinceMs = nowMs;
+        idle = true;
+        return queue.isEmpty();
+    }
+
+    void endIdle() {
+        idle = false;
         reused = true;
     }
 
-    double idleSinceMs() {
-        return idleSinceMs;
+    /** Closes the connection if bytes arrive while it is idle. Otherwise they could arrive without end. */
+    ChannelInboundHandler idleGuard() {
+        return new ChannelInboundHandlerAdapter() {
+            @Override
+            public void channelRead(ChannelHandlerContext context, Object message) {
+                if (!idle) {
+                    context.fireChannelRead(message);
+                    return;
+                }
+                ReferenceCountUtil.release(message);
+                if (channel.isOpen()) {
+                    LOG.warn(
+                            "[call] Closed an idle connection to {}: it received bytes that belong to no request.",
+                            channel.remoteAddress());
+                    channel.close();
+                }
+            }
+        };
     }
 
-    void setIdleSinceMs(double newIdleSinceMs) {
-        idleSinceMs = newIdleSinceMs;
+    double idleSinceMs() {
+        return idleSinceMs;
     }
 
     /**
@@ -239,7 +274,7 @@
 
     /** Ends a call whose response was read completely. Returns the connection to the pool if it can be reused. */
     public void release() {
-        if (reusable && requestComplete && channel.isActive()) {
+        if (reusable && requestComplete && channel.isActive() && queue.isEmpty()) {
             client.returnToPool(this);
         } else {
             channel.close();
@@ -248,6 +283,7 @@
 
     /** Closes the connection, which cancels the call at the backend server. */
     public void close() {
+        reusable = false;
         channel.close();
     }
 }
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/HttpPartDecoder.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/HttpPartDecoder.java
@@ -22,11 +22,17 @@
 
 /** Converts Netty's HTTP objects to {@link HttpPart}s and adds them to the queue of the connection. */
 final class HttpPartDecoder extends ChannelInboundHandlerAdapter {
+    /** A server that sends informational responses without end would otherwise never exceed a limit. */
+    private static final int MAX_INFORMATIONAL_RESPONSES = 16;
+
+    private static final int FIRST_FINAL_STATUS = 200;
+
     private final InboundQueue queue;
     private final ChannelWriter writer;
     private final Runnable onClosed;
     private boolean malformed;
     private boolean informational;
+    private int informationalResponses;
 
     HttpPartDecoder(InboundQueue queue, ChannelWriter writer, Runnable onClosed) {
         this.queue = queue;
@@ -79,8 +85,11 @@
                     bodyBytes));
         } else if (message instanceof HttpResponse response) {
             int status = response.status().code();
-            informational = status < 200;
-            if (!informational) {
+            informational = status < FIRST_FINAL_STATUS;
+            if (informational) {
+                countInformational();
+            } else {
+                informationalResponses = 0;
                 long bodyBytes = chunked ? -1 : HttpUtil.getContentLength(message, -1L);
                 boolean isDelimited = chunked || bodyBytes >= 0 || HeaderFields.isBodyless(status);
                 boolean keepAlive = HttpUtil.isKeepAlive(message) && isDelimited;
@@ -90,6 +99,15 @@
         }
     }
 
+    private void countInformational() {
+        informationalResponses++;
+        if (informationalResponses > MAX_INFORMATIONAL_RESPONSES) {
+            malformed = true;
+            queue.put(new HttpPart.Malformed(
+                    "more than " + MAX_INFORMATIONAL_RESPONSES + " informational responses precede the response"));
+        }
+    }
+
     private void readContent(HttpContent content) {
         if (informational) {
             return;
