Serve what has arrived when a listener stops

A stop closed each connection whose task was not serving a request, also when the next request was in its queue or a part of its head had arrived. Closing the socket reset the connections that waited to be accepted, which are many while the event loop is busy. And callers learned of the stop only when their connections were closed, because responses announced it only from the end of the 2.7 s in which callers leave.

Whether a connection is kept follows from what its response announced.

--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/HttpExchange.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/HttpExchange.java
@@ -38,6 +38,7 @@
     private boolean headSent;
     private boolean finished;
     private boolean aborted;
+    private boolean keepAlive;
 
     HttpExchange(ServerConnection connection, HttpPart.RequestHead head, long readTimeoutMs) {
         this.connection = connection;
@@ -189,7 +190,8 @@
         }
         headSent = true;
         finished = true;
-        HttpUtil.setKeepAlive(message, isReusable());
+        keepAlive = computeKeepAlive();
+        HttpUtil.setKeepAlive(message, keepAlive);
         return connection.writer().write(message, WRITE_TIMEOUT_MS);
     }
 
@@ -213,7 +215,8 @@
         } else {
             message.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
         }
-        HttpUtil.setKeepAlive(message, isReusable());
+        keepAlive = computeKeepAlive();
+        HttpUtil.setKeepAlive(message, keepAlive);
         return connection.writer().write(message, WRITE_TIMEOUT_MS);
     }
 
@@ -269,9 +272,14 @@
         return finished;
     }
 
+    /** Returns whether the response announced that the connection stays open, and nothing has prevented it since. */
     boolean isReusable() {
+        return keepAlive && !aborted;
+    }
+
+    private boolean computeKeepAlive() {
         boolean bodyConsumed = bodyRead || !head.hasBody() && consumeEmptyBody();
-        return head.keepAlive() && bodyConsumed && !aborted && !connection.isStopping();
+        return head.keepAlive() && bodyConsumed && !connection.isDraining();
     }
 
     private boolean consumeEmptyBody() {
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/HttpListener.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/HttpListener.java
@@ -1,5 +1,7 @@
 package org.sequoianotch.daemon.http;
 
+import static java.util.concurrent.TimeUnit.MILLISECONDS;
+
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
@@ -28,6 +30,12 @@
     private static final int WRITE_HIGH_WATER_BYTES = 65_536;
     private static final int WRITE_LOW_WATER_BYTES = 16_384;
     private static final long STOP_POLL_MS = 10;
+    /** Callers that ignore the drain may go on connecting, so that the wait for the last connection must end. */
+    private static final long MAX_ACCEPT_WAIT_MS = 500;
+
+    /** A caller that has begun to send a head sends its rest within a round trip, unless it is gone. */
+    private static final long PARTIAL_HEAD_WAIT_MS = 1_000;
+
     /** A burst of callers opens many connections before they are accepted. A full queue delays them by seconds. */
     private static final int ACCEPT_BACKLOG = 1_024;
 
@@ -35,7 +43,12 @@
     private final HttpHandler handler;
     private final Set<ServerConnection> connections = ConcurrentHashMap.newKeySet();
     private final Channel serverChannel;
+    /** Number of accepted connections. Written on the event loop only. */
+    private volatile int accepts;
+
+    private volatile boolean draining;
     private volatile boolean stopping;
+    private volatile boolean dropsPartialHeads;
 
     private HttpListener(ListenerOptions options, EventLoopGroup eventLoops, HttpHandler handler)
             throws InterruptedException {
@@ -80,39 +93,78 @@
     }
 
     /**
-     * Stops accepting connections, waits for requests in flight and closes all connections.
+     * Announces on each response from now on that its connection will be closed, so that callers leave before the
+     * listener stops. Requests and new connections are still served.
+     */
+    public void drain() {
+        draining = true;
+    }
+
+    /**
+     * Stops accepting connections, waits for requests in flight and closes all connections. Connections that wait to be
+     * accepted and requests that have arrived are served.
      *
      * @param timeoutMs longest wait for requests in flight, in milliseconds
      * @return true if all requests finished in time
      * @throws InterruptedException if the thread is interrupted while waiting
      */
     public boolean stop(long timeoutMs) throws InterruptedException {
-        stopping = true;
+        draining = true;
+        long startNs = System.nanoTime();
+        long deadlineNs = startNs + MILLISECONDS.toNanos(timeoutMs);
+        awaitAccepts(Math.min(timeoutMs / 2, MAX_ACCEPT_WAIT_MS));
         serverChannel.close().sync();
-        connections.forEach(ServerConnection::closeWhenIdle);
-        long deadlineNs = System.nanoTime() + timeoutMs * 1_000_000;
+        stopping = true;
+        connections.forEach(ServerConnection::checkStop);
         while (isServing() && System.nanoTime() < deadlineNs) {
             TaskThreads.sleep(STOP_POLL_MS);
+            if (!dropsPartialHeads && System.nanoTime() - startNs > MILLISECONDS.toNanos(PARTIAL_HEAD_WAIT_MS)) {
+                dropsPartialHeads = true;
+                connections.forEach(ServerConnection::checkStop);
+            }
         }
         boolean finished = !isServing();
         connections.forEach(ServerConnection::close);
         return finished;
     }
 
+    /** Waits until no connection was accepted for a while, because closing the socket resets those that still wait. */
+    private void awaitAccepts(long maxMs) throws InterruptedException {
+        long endNs = System.nanoTime() + MILLISECONDS.toNanos(maxMs);
+        long seenAccepts;
+        do {
+            seenAccepts = accepts;
+            // Two passes of the event loop: a pass that is under way may have looked for new connections before.
+            for (int pass = 0; pass < 2; pass++) {
+                serverChannel.eventLoop().submit(() -> {}).await(maxMs);
+                TaskThreads.sleep(STOP_POLL_MS);
+            }
+        } while (accepts != seenAccepts && System.nanoTime() < endNs);
+    }
+
     private boolean isServing() {
         return !connections.stream().allMatch(ServerConnection::isLingering);
     }
 
+    boolean isDraining() {
+        return draining;
+    }
+
     boolean isStopping() {
         return stopping;
     }
 
+    boolean dropsPartialHeads() {
+        return dropsPartialHeads;
+    }
+
     void onConnectionClosed(ServerConnection connection) {
         connections.remove(connection);
     }
 
     private void accept(SocketChannel channel) {
-        if (stopping || connections.size() >= options.maxConnections()) {
+        accepts++;
+        if (connections.size() >= options.maxConnections()) {
             LOG.warn(
                     "[http] Closed a connection to the {} listener: {} connections are open, and the limit is {}.",
                     options.name(),
@@ -124,6 +176,7 @@
         ServerConnection connection = new ServerConnection(channel, this, options, handler);
         connections.add(connection);
         channel.pipeline()
+                .addLast(connection.partialMessageMarker())
                 .addLast(new HttpServerCodec(MAX_INITIAL_LINE_BYTES, options.maxHeaderBytes(), MAX_CHUNK_BYTES))
                 .addLast(new HttpPartDecoder(connection.queue(), connection.writer(), connection::onClosed));
         TaskThreads.start(options.name(), connection);
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/HttpPartDecoder.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/HttpPartDecoder.java
@@ -117,6 +117,7 @@
             queue.put(new HttpPart.Data(ByteBufUtil.getBytes(buffer)));
         }
         if (content instanceof LastHttpContent) {
+            queue.setPartialMessage(false);
             queue.put(new HttpPart.End());
         }
     }
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/InboundQueue.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/InboundQueue.java
@@ -21,10 +21,11 @@
 
     private final Channel channel;
     private final Signal arrived = new Signal();
-    private final BooleanSupplier hasPart = this::hasPart;
     private final ArrayDeque<HttpPart> parts = new ArrayDeque<>();
     private int queuedBytes;
     private boolean readingPaused;
+    /** Whether bytes of a message have arrived whose end has not. */
+    private volatile boolean partialMessage;
 
     InboundQueue(Channel channel) {
         this.channel = channel;
@@ -44,11 +45,17 @@
 
     /** Waits for the next part. Returns empty after the timeout. A part that ends the connection is never removed. */
     Optional<HttpPart> take(long timeoutMs) throws InterruptedException {
-        if (!arrived.await(hasPart, timeoutMs)) {
-            return Optional.empty();
-        }
+        return takeUnless(() -> false, timeoutMs);
+    }
+
+    /** Waits like {@link #take}, but also returns empty if there is no part and a condition holds. */
+    Optional<HttpPart> takeUnless(BooleanSupplier condition, long timeoutMs) throws InterruptedException {
+        arrived.await(() -> hasPart() || condition.getAsBoolean(), timeoutMs);
         synchronized (this) {
             HttpPart part = parts.peek();
+            if (part == null) {
+                return Optional.empty();
+            }
             if (!(part instanceof HttpPart.Closed) && !(part instanceof HttpPart.Malformed)) {
                 remove(part);
             }
@@ -56,6 +63,19 @@
         }
     }
 
+    /** Makes a waiting task check its condition again. */
+    void wake() {
+        arrived.raise();
+    }
+
+    void setPartialMessage(boolean newPartialMessage) {
+        partialMessage = newPartialMessage;
+    }
+
+    boolean hasPartialMessage() {
+        return partialMessage;
+    }
+
     private void remove(HttpPart part) {
         parts.remove();
         queuedBytes -= part.sizeBytes();
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/ServerConnection.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/ServerConnection.java
@@ -2,6 +2,9 @@
 
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandler;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.DuplexChannel;
 import java.util.ArrayList;
 import java.util.List;
@@ -14,8 +17,8 @@
 /**
  * An accepted connection, which reads requests one after the other and passes each to the handler.
  *
- * <p>One thread runs it. {@link #close}, {@link #closeWhenIdle}, {@link #onClose} and {@link #onClosed} may be called
- * from other threads.
+ * <p>One thread runs it. {@link #close}, {@link #checkStop}, {@link #onClose} and {@link #onClosed} may be called from
+ * other threads.
  */
 final class ServerConnection implements Runnable {
     private static final Logger LOG = LogManager.getLogger(ServerConnection.class);
@@ -36,7 +39,6 @@
     private final ChannelWriter writer;
     private final List<Runnable> closeActions = new ArrayList<>();
     private boolean closed;
-    private volatile boolean idle = true;
     private volatile boolean lingering;
 
     ServerConnection(Channel channel, HttpListener listener, ListenerOptions options, HttpHandler handler) {
@@ -61,9 +63,9 @@
         return lingering;
     }
 
-    /** Returns whether no further requests are accepted on this connection. */
-    boolean isStopping() {
-        return listener.isStopping();
+    /** Returns whether the next response must announce the end of the connection. */
+    boolean isDraining() {
+        return listener.isDraining();
     }
 
     Channel channel() {
@@ -73,11 +75,9 @@
     @Override
     public void run() {
         try {
-            while (serveOne()) {
-                idle = true;
-                if (listener.isStopping()) {
-                    break;
-                }
+            boolean open = true;
+            while (open) {
+                open = serveOne();
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
@@ -90,7 +90,8 @@
     }
 
     private boolean serveOne() throws InterruptedException {
-        Optional<HttpPart> part = queue.take(options.idleTimeoutMs());
+        // A request that has arrived is served even while the listener stops; only a connection without one is closed.
+        Optional<HttpPart> part = queue.takeUnless(this::mayStop, options.idleTimeoutMs());
         if (part.isEmpty()) {
             return false;
         }
@@ -102,8 +103,11 @@
         };
     }
 
+    private boolean mayStop() {
+        return listener.isStopping() && (listener.dropsPartialHeads() || !queue.hasPartialMessage());
+    }
+
     private boolean serve(HttpPart.RequestHead head) throws InterruptedException {
-        idle = false;
         HttpExchange exchange = new HttpExchange(this, head, options.idleTimeoutMs());
         clearCloseActions();
         handler.handle(exchange);
@@ -150,10 +154,20 @@
         }
     }
 
-    void closeWhenIdle() {
-        if (idle) {
-            channel.close();
-        }
+    /** Makes the connection check whether it has to end because its listener stops. */
+    void checkStop() {
+        queue.wake();
+    }
+
+    /** Marks the queue as soon as bytes of a message arrive; the decoder reports a message only once its head ends. */
+    ChannelInboundHandler partialMessageMarker() {
+        return new ChannelInboundHandlerAdapter() {
+            @Override
+            public void channelRead(ChannelHandlerContext context, Object message) {
+                queue.setPartialMessage(true);
+                context.fireChannelRead(message);
+            }
+        };
     }
 
     void close() {
--- a/sequoianotch-daemon/src/test/java/org/sequoianotch/daemon/http/HttpListenerTest.java
+++ b/sequoianotch-daemon/src/test/java/org/sequoianotch/daemon/http/HttpListenerTest.java
@@ -11,6 +11,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Locale;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -116,6 +117,85 @@
         }
     }
 
+    /** The second request was in the queue of the connection when the stop closed it after the first response. */
+    @Test
+    void stopServesARequestThatHasArrivedBehindAnother() throws Exception {
+        CountDownLatch answered = new CountDownLatch(1);
+        bind(exchange -> {
+            exchange.respond(BufferedResponse.ofText(200, "text/plain", "to" + exchange.uri()));
+            answered.countDown();
+            awaitStop();
+        });
+        try (Socket socket = connect()) {
+            socket.getOutputStream()
+                    .write("GET /a HTTP/1.1\r\n\r\nGET /b HTTP/1.1\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+            answered.await();
+            Thread stop = Thread.ofVirtual().start(this::stopListener);
+
+            assertThat(new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII))
+                    .endsWith("to/b");
+            stop.join();
+        }
+    }
+
+    private void awaitStop() throws InterruptedException {
+        while (!listener.isStopping()) {
+            Thread.sleep(1);
+        }
+    }
+
+    /** The stop closed connections on which only a part of a head had arrived. */
+    @Test
+    void stopServesARequestWhoseHeadHasBegunToArrive() throws Exception {
+        bind(this::echo);
+        try (Socket socket = connect()) {
+            socket.getOutputStream().write("GET /a HTTP/1.1\r\nX-First: 1\r\n".getBytes(StandardCharsets.US_ASCII));
+            // The event loop has read the part of the head once it has served two requests that came later.
+            send("GET /b HTTP/1.1\r\nConnection: close\r\n\r\n");
+            send("GET /c HTTP/1.1\r\nConnection: close\r\n\r\n");
+            Thread stop = Thread.ofVirtual().start(this::stopListener);
+            awaitStop();
+            socket.getOutputStream().write("X-Second: 2\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+
+            assertThat(new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII))
+                    .startsWith("HTTP/1.1 200");
+            stop.join();
+        }
+    }
+
+    /** A connection that the busy event loop has not accepted yet was reset when the stop closed the socket. */
+    @Test
+    void stopServesAConnectionThatWaitsToBeAccepted() throws Exception {
+        bind(this::echo);
+        CountDownLatch busy = new CountDownLatch(1);
+        eventLoops.forEach(loop -> loop.execute(() -> {
+            try {
+                busy.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }));
+        try (Socket socket = connect()) {
+            socket.getOutputStream().write("GET /a HTTP/1.1\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+            Thread stop = Thread.ofVirtual().start(this::stopListener);
+            Thread.sleep(50);
+            busy.countDown();
+
+            assertThat(new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII))
+                    .startsWith("HTTP/1.1 200");
+            stop.join();
+        }
+    }
+
+    /** Callers that keep their connections learn of the stop before it happens. */
+    @Test
+    void drainAnnouncesTheEndOfEachConnection() throws Exception {
+        bind(this::echo);
+        listener.drain();
+
+        assertThat(send("GET /a HTTP/1.1\r\n\r\n").toLowerCase(Locale.ROOT)).contains("connection: close");
+    }
+
     private void stopListener() {
         try {
             listener.stop(10_000);
