Check the drain of an instance again before a call is sent to it

A call is admitted while a draining instance still accepts calls, then waits for a slot, or the process is paused, and was sent to the instance afterwards without another look at the time.

Change: the node looks the instance up again right before it passes the call to a connection. If the time of the notice is over, or another process has taken the instance's place, the call is refused as draining, which proves that it was not sent.

--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/InstanceServer.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/InstanceServer.java
@@ -116,11 +116,10 @@
             return;
         }
         if (instances.isDraining() || !instance.accepts(clock.monotonicMs())) {
-            String detail = "The instance of " + call.header().service() + " is draining.";
             refuse(
                     call,
                     context,
-                    Failure.of(ErrorKind.DRAINING, detail),
+                    drainingFailure(call.header()),
                     instance.admission().load());
             return;
         }
@@ -215,6 +214,9 @@
             throws InterruptedException {
         CallHeader header = call.header();
         while (context.cancellation().isEmpty() && context.timeLeftMs(clock) > 0) {
+            if (!isStillAccepting(instance)) {
+                return Either.left(drainingFailure(header));
+            }
             Either<Failure, BackendConnection> connected = instance.client().connect();
             if (connected.isLeft()) {
                 return connected;
@@ -242,6 +244,19 @@
                 "The call was cancelled or its deadline passed before it was sent to the backend server."));
     }
 
+    /**
+     * Checks the instance again before a call is sent to it. While the call waited in the queue, or the process was
+     * paused, the instance may have left or another one may have taken its place.
+     */
+    private boolean isStillAccepting(LocalInstance admittedBy) {
+        LocalInstance current = instances.find(admittedBy.service());
+        return current != null && current.client() == admittedBy.client() && current.accepts(clock.monotonicMs());
+    }
+
+    private static Failure drainingFailure(CallHeader header) {
+        return Failure.of(ErrorKind.DRAINING, "The instance of " + header.service() + " is draining.");
+    }
+
     private void recordSent(RequestContext context, CallHeader header, LocalInstance instance, Permit permit) {
         LoadReport load = instance.admission().load();
         recorder.record(
