Share the retry budget of a service by the calls of the last window

Cause: a service that turns away a part of its calls for some seconds costs every request that makes several calls to it. Each node could retry a tenth of its own calls, and only 1.5 retries beyond the current ones, so that the calls of the seconds before were forgotten. The platform's limit for all nodes is a ratio of the calls in 10 s and a constant.

Change: a node counts its calls and retries of the last window and uses four fifths of the ratio and of its part of the constant.

--- a/sequoianotch-core/src/main/java/org/sequoianotch/settings/ValueKind.java
+++ b/sequoianotch-core/src/main/java/org/sequoianotch/settings/ValueKind.java
@@ -15,6 +15,17 @@
             return withinRange(text, min, max);
         }
     },
+    /** A number with an optional fraction within a range. */
+    DECIMAL("a number with an optional fraction") {
+        @Override
+        public boolean accepts(String text, long min, long max) {
+            if (!text.matches("\\d{1,9}(\\.\\d{1,9})?")) {
+                return false;
+            }
+            double value = Double.parseDouble(text);
+            return value >= min && value <= max;
+        }
+    },
     /** A duration in milliseconds, written without a unit. */
     DURATION_MS("a whole number of milliseconds") {
         @Override
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/Node.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/Node.java
@@ -27,6 +27,7 @@
 import org.sequoianotch.membership.NettyDatagramTransport;
 import org.sequoianotch.model.ServiceName;
 import org.sequoianotch.policy.PolicyMode;
+import org.sequoianotch.policy.retry.SharedRetryLimit;
 import org.sequoianotch.protocol.Topic;
 import org.sequoianotch.protocol.link.LinkCounters;
 import org.sequoianotch.protocol.link.LinkOptions;
@@ -49,6 +50,12 @@
  * <p>This class is thread-safe.
  */
 public final class Node {
+    /** The policy mode {@code known_slots} compares retries and calls over this time. */
+    private static final long RETRY_WINDOW_MS = 10_000;
+
+    /** Retries to a service in each window beside its percentage, for all nodes; a few for services with few calls. */
+    private static final int RETRY_SLACK = 50;
+
     private static final Logger LOG = LogManager.getLogger(Node.class);
     private static final int EVENT_LOOP_THREADS = 2;
     private static final long TIMER_TICK_MS = 5;
@@ -120,6 +127,10 @@
                         mode,
                         location,
                         (int) settings.number(NodeSetting.ROUTING_CROSS_REGION_PRICE_MS_PER_KIB),
+                        new SharedRetryLimit(
+                                RETRY_WINDOW_MS,
+                                RETRY_SLACK,
+                                () -> membership.view().members().size()),
                         clock,
                         random),
                 ledger.ledger());
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/RouteLimits.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/RouteLimits.java
@@ -24,16 +24,22 @@
     /** A third of the shortest target latencies of the deployments. */
     private static final long QUEUE_TIME_MS = 300;
 
-    /** Half of the bound of 20% that holds for all nodes together, because the nodes do not retry evenly. */
-    private static final int RETRY_BUDGET_PERCENT = 10;
-
     /** How long instances of the deployments are slow after their start. */
     private static final long SLOW_START_MS = 3_000;
 
     private final Map<ServiceName, ServiceRule> rules = new ConcurrentHashMap<>();
 
-    /** Creates the limits. */
-    public RouteLimits() {}
+    private final int retryBudgetPercent;
+
+    /**
+     * Creates the limits.
+     *
+     * @param retryBudgetPercent retries that all nodes together may add, in percent of the calls of a service; from 0
+     *     to 100
+     */
+    public RouteLimits(int retryBudgetPercent) {
+        this.retryBudgetPercent = retryBudgetPercent;
+    }
 
     /**
      * Returns the limits of a service.
@@ -45,7 +51,7 @@
         return rules.computeIfAbsent(
                 service,
                 name -> new ServiceRule(
-                        name, NO_MAX_IN_FLIGHT, QUEUE_LENGTH, QUEUE_TIME_MS, RETRY_BUDGET_PERCENT, SLOW_START_MS));
+                        name, NO_MAX_IN_FLIGHT, QUEUE_LENGTH, QUEUE_TIME_MS, retryBudgetPercent, SLOW_START_MS));
     }
 
     OutboundCall outbound(
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/ServicePolicies.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/ServicePolicies.java
@@ -7,6 +7,7 @@
 import org.sequoianotch.policy.PolicyMode;
 import org.sequoianotch.policy.admission.EntryGate;
 import org.sequoianotch.policy.retry.RetryPolicy;
+import org.sequoianotch.policy.retry.SharedRetryLimit;
 import org.sequoianotch.policy.routing.InstanceSelector;
 import org.sequoianotch.template.RouteRule;
 import org.sequoianotch.template.ServiceRule;
@@ -23,6 +24,7 @@
     private final PolicyMode mode;
     private final NodeLocation location;
     private final int crossRegionPriceMsPerKib;
+    private final SharedRetryLimit retryLimit;
     private final Clock clock;
     private final RandomGenerator random;
     private final Map<ServiceName, Policies> policies = new ConcurrentHashMap<>();
@@ -34,14 +36,21 @@
      * @param location location of this node; not null
      * @param crossRegionPriceMsPerKib cost of sending one KiB to another region, in milliseconds of latency; not
      *     negative
+     * @param retryLimit limit on the retries of all nodes, where the mode has one; not null
      * @param clock the clock; not null
      * @param random source of randomness, safe for several threads; not null
      */
     public ServicePolicies(
-            PolicyMode mode, NodeLocation location, int crossRegionPriceMsPerKib, Clock clock, RandomGenerator random) {
+            PolicyMode mode,
+            NodeLocation location,
+            int crossRegionPriceMsPerKib,
+            SharedRetryLimit retryLimit,
+            Clock clock,
+            RandomGenerator random) {
         this.mode = mode;
         this.location = location;
         this.crossRegionPriceMsPerKib = crossRegionPriceMsPerKib;
+        this.retryLimit = retryLimit;
         this.clock = clock;
         this.random = random;
     }
@@ -74,7 +83,7 @@
                 rule,
                 mode.newSelector(
                         rule, location.dataCentre(), location.region(), crossRegionPriceMsPerKib, clock, random),
-                mode.newRetryPolicy(rule, clock),
+                mode.newRetryPolicy(rule, retryLimit, clock),
                 new ConcurrentHashMap<>());
     }
 
--- a/sequoianotch-policy/src/main/java/org/sequoianotch/policy/PolicyMode.java
+++ b/sequoianotch-policy/src/main/java/org/sequoianotch/policy/PolicyMode.java
@@ -16,6 +16,7 @@
 import org.sequoianotch.policy.retry.ProtectiveRetryPolicy;
 import org.sequoianotch.policy.retry.RedirectRetryPolicy;
 import org.sequoianotch.policy.retry.RetryPolicy;
+import org.sequoianotch.policy.retry.SharedRetryLimit;
 import org.sequoianotch.policy.routing.InstanceSelector;
 import org.sequoianotch.policy.routing.ProtectiveSelector;
 import org.sequoianotch.template.ServiceRule;
@@ -47,7 +48,7 @@
         }
 
         @Override
-        public RetryPolicy newRetryPolicy(ServiceRule rule, Clock clock) {
+        public RetryPolicy newRetryPolicy(ServiceRule rule, SharedRetryLimit limit, Clock clock) {
             return new ProtectiveRetryPolicy(rule, clock);
         }
     },
@@ -75,8 +76,8 @@
         }
 
         @Override
-        public RetryPolicy newRetryPolicy(ServiceRule rule, Clock clock) {
-            return new RedirectRetryPolicy(rule, clock);
+        public RetryPolicy newRetryPolicy(ServiceRule rule, SharedRetryLimit limit, Clock clock) {
+            return new RedirectRetryPolicy(rule, limit, clock);
         }
     },
     /** First come, first served; three retries at each hop; random routing. Baseline for comparisons. */
@@ -103,7 +104,7 @@
         }
 
         @Override
-        public RetryPolicy newRetryPolicy(ServiceRule rule, Clock clock) {
+        public RetryPolicy newRetryPolicy(ServiceRule rule, SharedRetryLimit limit, Clock clock) {
             return new NaiveRetryPolicy();
         }
     };
@@ -175,8 +176,9 @@
      * Creates the retry policy of one service at a node.
      *
      * @param rule limits of the service; not null
+     * @param limit limit on the retries of all nodes, where the mode has one; not null
      * @param clock the clock; not null
      * @return the policy, never null
      */
-    public abstract RetryPolicy newRetryPolicy(ServiceRule rule, Clock clock);
+    public abstract RetryPolicy newRetryPolicy(ServiceRule rule, SharedRetryLimit limit, Clock clock);
 }
--- a/sequoianotch-policy/src/main/java/org/sequoianotch/policy/retry/RedirectRetryPolicy.java
+++ b/sequoianotch-policy/src/main/java/org/sequoianotch/policy/retry/RedirectRetryPolicy.java
@@ -14,24 +14,24 @@
     /** After so many refusals in a row the service as a whole has no capacity, and further redirects add latency. */
     private static final int MAX_REDIRECTS = 3;
 
-    /** One retry without earlier calls, plus a fraction that accumulates; small, since many nodes share the budget. */
-    private static final double BURST_TOKENS = 1.5;
-
-    private final RetryBudget budget;
+    private final SlidingRetryBudget budget;
 
     /**
      * Creates the policy of one service at one node.
      *
-     * @param rule limits of the service; not null
+     * @param rule limits of the service, of which the retry budget applies to all nodes together; not null
+     * @param limit limit on the retries of all nodes; not null
      * @param clock the clock; not null
      */
-    public RedirectRetryPolicy(ServiceRule rule, Clock clock) {
-        this.budget = RetryBudget.refilledByCallsOnly(rule.retryBudgetPercent(), BURST_TOKENS, clock);
+    public RedirectRetryPolicy(ServiceRule rule, SharedRetryLimit limit, Clock clock) {
+        this.budget = new SlidingRetryBudget(rule.retryBudgetPercent(), limit, clock);
     }
 
     @Override
     public void onFirstAttempt() {
-        budget.onFirstAttempt();
+        synchronized (budget) {
+            budget.onFirstAttempt();
+        }
     }
 
     @Override
@@ -42,18 +42,20 @@
         }
         return switch (kind) {
             case OVERLOADED, DRAINING, NO_INSTANCE -> failedAttempt.attempts() <= MAX_REDIRECTS;
-            case INSTANCE_REFUSED -> takeFromBudget(failedAttempt, allowance);
+            case INSTANCE_REFUSED -> takeFromBudget(allowance);
             case CONNECTION_LOST, BACKEND_CUT_ANSWER -> failedAttempt.repeat().isRepeatableInDoubt()
-                    && takeFromBudget(failedAttempt, allowance);
+                    && takeFromBudget(allowance);
             default -> false;
         };
     }
 
-    private boolean takeFromBudget(FailedAttempt failedAttempt, RetryAllowance allowance) {
+    private boolean takeFromBudget(RetryAllowance allowance) {
         synchronized (budget) {
-            return budget.hasToken(failedAttempt.criticality())
-                    && allowance.takeForRetry()
-                    && budget.take(failedAttempt.criticality());
+            if (!budget.hasRetry() || !allowance.takeForRetry()) {
+                return false;
+            }
+            budget.take();
+            return true;
         }
     }
 }
--- a/sequoianotch-policy/src/main/java/org/sequoianotch/policy/retry/RetryBudget.java
+++ b/sequoianotch-policy/src/main/java/org/sequoianotch/policy/retry/RetryBudget.java
@@ -6,9 +6,8 @@
 /**
  * Token bucket that limits the retries of a node to one service to a percentage of its first attempts.
  *
- * <p>Each first attempt adds that percentage of a token. By default, one token is also added each second, so that a
- * node with few calls can retry at all, and the capacity is 10 tokens. A percentage of zero disables retries. This
- * class is thread-safe.
+ * <p>Each first attempt adds that percentage of a token. One token is also added each second, so that a node with few
+ * calls can retry at all. The capacity is 10 tokens. A percentage of zero disables retries. This class is thread-safe.
  */
 public final class RetryBudget {
     private static final double REFILL_TOKENS_PER_MS = 0.001;
@@ -20,19 +19,12 @@
 
     private final double tokensPerFirstAttempt;
     private final Clock clock;
-    private final double refillTokensPerMs;
-    private final double burstTokens;
-    private final double reservedCriticalTokens;
     private double tokens;
     private double refilledAtMs;
 
-    private RetryBudget(
-            int percent, double refillTokensPerMs, double burstTokens, double reservedCriticalTokens, Clock clock) {
+    private RetryBudget(int percent, Clock clock) {
         this.tokensPerFirstAttempt = percent / PERCENT;
-        this.refillTokensPerMs = refillTokensPerMs;
-        this.burstTokens = burstTokens;
-        this.reservedCriticalTokens = reservedCriticalTokens;
-        this.tokens = burstTokens;
+        this.tokens = BURST_TOKENS;
         this.clock = clock;
         this.refilledAtMs = clock.monotonicMs();
     }
@@ -45,25 +37,12 @@
      * @return the budget, never null
      */
     public static RetryBudget of(int percent, Clock clock) {
-        return new RetryBudget(percent, REFILL_TOKENS_PER_MS, BURST_TOKENS, RESERVED_CRITICAL_TOKENS, clock);
-    }
-
-    /**
-     * Creates a full budget that only first attempts refill, for a deployment in which many nodes share one limit. No
-     * tokens are reserved for critical calls.
-     *
-     * @param percent retries allowed per 100 first attempts; from 0 to 100
-     * @param burstTokens capacity in tokens; at least 1
-     * @param clock the clock; not null
-     * @return the budget, never null
-     */
-    public static RetryBudget refilledByCallsOnly(int percent, double burstTokens, Clock clock) {
-        return new RetryBudget(percent, 0, burstTokens, 0, clock);
+        return new RetryBudget(percent, clock);
     }
 
     /** Refills the budget for a first attempt. */
     public synchronized void onFirstAttempt() {
-        tokens = Math.min(burstTokens, tokens + tokensPerFirstAttempt);
+        tokens = Math.min(BURST_TOKENS, tokens + tokensPerFirstAttempt);
     }
 
     /**
@@ -74,9 +53,9 @@
      */
     public synchronized boolean hasToken(Criticality criticality) {
         double nowMs = clock.monotonicMs();
-        tokens = Math.min(burstTokens, tokens + (nowMs - refilledAtMs) * refillTokensPerMs);
+        tokens = Math.min(BURST_TOKENS, tokens + (nowMs - refilledAtMs) * REFILL_TOKENS_PER_MS);
         refilledAtMs = nowMs;
-        double reserved = criticality == Criticality.CRITICAL ? 0 : reservedCriticalTokens;
+        double reserved = criticality == Criticality.CRITICAL ? 0 : RESERVED_CRITICAL_TOKENS;
         return tokensPerFirstAttempt > 0 && tokens >= 1 + reserved;
     }
 
