Reserve a part of the retry budget for critical calls

Cause: where one node makes calls for bookings and for lookups, the lookups are more numerous and use up the budget in the first seconds of a trouble, so that bookings fail more often than lookups.

Change: 0.3 retries for each critical call of the window, at most 60% of the budget, can only be used by critical calls.

--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/CallForwarder.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/CallForwarder.java
@@ -81,7 +81,7 @@
         if (refusal.isPresent()) {
             return new ForwardResult(Either.left(refusal.get()), 0);
         }
-        policies.retryPolicy(outbound.limits()).onFirstAttempt();
+        policies.retryPolicy(outbound.limits()).onFirstAttempt(context.criticality());
         while (true) {
             Either<Failure, Instance> selected = selectInstance(outbound, context, history);
             if (selected.isLeft()) {
--- a/sequoianotch-policy/src/main/java/org/sequoianotch/policy/naive/NaiveRetryPolicy.java
+++ b/sequoianotch-policy/src/main/java/org/sequoianotch/policy/naive/NaiveRetryPolicy.java
@@ -1,5 +1,6 @@
 package org.sequoianotch.policy.naive;
 
+import org.sequoianotch.model.Criticality;
 import org.sequoianotch.policy.retry.FailedAttempt;
 import org.sequoianotch.policy.retry.RetryAllowance;
 import org.sequoianotch.policy.retry.RetryPolicy;
@@ -16,7 +17,7 @@
     public NaiveRetryPolicy() {}
 
     @Override
-    public void onFirstAttempt() {
+    public void onFirstAttempt(Criticality criticality) {
         // There is no budget.
     }
 
--- a/sequoianotch-policy/src/main/java/org/sequoianotch/policy/retry/ProtectiveRetryPolicy.java
+++ b/sequoianotch-policy/src/main/java/org/sequoianotch/policy/retry/ProtectiveRetryPolicy.java
@@ -1,6 +1,7 @@
 package org.sequoianotch.policy.retry;
 
 import org.sequoianotch.error.ErrorKind;
+import org.sequoianotch.model.Criticality;
 import org.sequoianotch.template.ServiceRule;
 import org.sequoianotch.time.Clock;
 
@@ -25,7 +26,7 @@
     }
 
     @Override
-    public void onFirstAttempt() {
+    public void onFirstAttempt(Criticality criticality) {
         budget.onFirstAttempt();
     }
 
--- a/sequoianotch-policy/src/main/java/org/sequoianotch/policy/retry/RedirectRetryPolicy.java
+++ b/sequoianotch-policy/src/main/java/org/sequoianotch/policy/retry/RedirectRetryPolicy.java
@@ -1,6 +1,7 @@
 package org.sequoianotch.policy.retry;
 
 import org.sequoianotch.error.ErrorKind;
+import org.sequoianotch.model.Criticality;
 import org.sequoianotch.template.ServiceRule;
 import org.sequoianotch.time.Clock;
 
@@ -28,9 +29,9 @@
     }
 
     @Override
-    public void onFirstAttempt() {
+    public void onFirstAttempt(Criticality criticality) {
         synchronized (budget) {
-            budget.onFirstAttempt();
+            budget.onFirstAttempt(criticality);
         }
     }
 
@@ -42,19 +43,19 @@
         }
         return switch (kind) {
             case OVERLOADED, DRAINING, NO_INSTANCE -> failedAttempt.attempts() <= MAX_REDIRECTS;
-            case INSTANCE_REFUSED -> takeFromBudget(allowance);
+            case INSTANCE_REFUSED -> takeFromBudget(failedAttempt.criticality(), allowance);
             case CONNECTION_LOST, BACKEND_CUT_ANSWER -> failedAttempt.repeat().isRepeatableInDoubt()
-                    && takeFromBudget(allowance);
+                    && takeFromBudget(failedAttempt.criticality(), allowance);
             default -> false;
         };
     }
 
-    private boolean takeFromBudget(RetryAllowance allowance) {
+    private boolean takeFromBudget(Criticality criticality, RetryAllowance allowance) {
         synchronized (budget) {
-            if (!budget.hasRetry() || !allowance.takeForRetry()) {
+            if (!budget.hasRetry(criticality) || !allowance.takeForRetry()) {
                 return false;
             }
-            budget.take();
+            budget.take(criticality);
             return true;
         }
     }
--- a/sequoianotch-policy/src/main/java/org/sequoianotch/policy/retry/RetryPolicy.java
+++ b/sequoianotch-policy/src/main/java/org/sequoianotch/policy/retry/RetryPolicy.java
@@ -1,9 +1,15 @@
 package org.sequoianotch.policy.retry;
 
+import org.sequoianotch.model.Criticality;
+
 /** Decides whether a failed attempt is retried. Implementations are thread-safe. */
 public interface RetryPolicy {
-    /** Counts a first attempt; the retry budget is a percentage of these. */
-    void onFirstAttempt();
+    /**
+     * Counts a first attempt; the retry budget is a percentage of these.
+     *
+     * @param criticality importance of the call; not null
+     */
+    void onFirstAttempt(Criticality criticality);
 
     /**
      * Decides whether the call may be retried and, if so, charges the retry to the allowance and the budget as far as
--- a/sequoianotch-policy/src/main/java/org/sequoianotch/policy/retry/SlidingRetryBudget.java
+++ b/sequoianotch-policy/src/main/java/org/sequoianotch/policy/retry/SlidingRetryBudget.java
@@ -1,6 +1,6 @@
 package org.sequoianotch.policy.retry;
 
-import java.util.Arrays;
+import org.sequoianotch.model.Criticality;
 import org.sequoianotch.time.Clock;
 
 /**
@@ -11,72 +11,56 @@
  * large capacity exceeds the limit of a window. This budget counts calls and retries of the window in slices, and
  * counts the oldest slice only for the retries, so that the limit holds for each window.
  *
+ * <p>A part is reserved for critical calls in proportion to their number. Lookups are mostly more numerous than
+ * bookings, and would otherwise use the whole budget within the first seconds of a trouble.
+ *
  * <p>This class is not thread-safe.
  */
 final class SlidingRetryBudget {
-    private static final int SLICES = 20;
+    /** Retries reserved for a critical call of the window; all of them need one only if the service is down. */
+    private static final double RESERVED_FOR_CRITICAL_CALL = 0.3;
+
+    /** Leaves a part to other calls, so that none of them starves. */
+    private static final double MAX_RESERVED_PART = 0.6;
 
     private final int percent;
     private final SharedRetryLimit limit;
-    private final Clock clock;
-    private final double sliceMs;
-    /** Ring of the slices of the window and the one before it. */
-    private final int[] calls = new int[SLICES + 1];
-
-    private final int[] retries = new int[SLICES + 1];
-    private long newestSlice;
-    private long callsInRing;
-    private long retriesInRing;
+    private final SlidingCount calls;
+    private final SlidingCount criticalCalls;
+    private final SlidingCount retries;
+    private final SlidingCount criticalRetries;
 
     SlidingRetryBudget(int percent, SharedRetryLimit limit, Clock clock) {
         this.percent = percent;
         this.limit = limit;
-        this.clock = clock;
-        this.sliceMs = (double) limit.windowMs() / SLICES;
-        this.newestSlice = currentSlice();
+        this.calls = new SlidingCount(limit.windowMs(), clock);
+        this.criticalCalls = new SlidingCount(limit.windowMs(), clock);
+        this.retries = new SlidingCount(limit.windowMs(), clock);
+        this.criticalRetries = new SlidingCount(limit.windowMs(), clock);
     }
 
-    private long currentSlice() {
-        return (long) Math.floor(clock.monotonicMs() / sliceMs);
-    }
-
-    private int advance() {
-        long slice = currentSlice();
-        if (slice - newestSlice > SLICES) {
-            Arrays.fill(calls, 0);
-            Arrays.fill(retries, 0);
-            callsInRing = 0;
-            retriesInRing = 0;
-            newestSlice = slice;
-        }
-        while (newestSlice < slice) {
-            newestSlice++;
-            int index = index(newestSlice);
-            callsInRing -= calls[index];
-            retriesInRing -= retries[index];
-            calls[index] = 0;
-            retries[index] = 0;
+    void onFirstAttempt(Criticality criticality) {
+        calls.increment();
+        if (criticality == Criticality.CRITICAL) {
+            criticalCalls.increment();
         }
-        return index(newestSlice);
     }
 
-    private static int index(long slice) {
-        return (int) Math.floorMod(slice, SLICES + 1L);
-    }
-
-    void onFirstAttempt() {
-        calls[advance()]++;
-        callsInRing++;
-    }
-
-    boolean hasRetry() {
-        advance();
-        long callsInWindow = callsInRing - calls[index(newestSlice + 1)];
-        return retriesInRing + 1 <= limit.retriesOfNode(percent, callsInWindow);
+    boolean hasRetry(Criticality criticality) {
+        double allowed = limit.retriesOfNode(percent, calls.withinWindow());
+        long used = retries.coveringWindow();
+        if (criticality != Criticality.CRITICAL) {
+            double reserved =
+                    Math.min(MAX_RESERVED_PART * allowed, RESERVED_FOR_CRITICAL_CALL * criticalCalls.coveringWindow());
+            used += (long) Math.ceil(Math.max(0, reserved - criticalRetries.coveringWindow()));
+        }
+        return used + 1 <= allowed;
     }
 
-    void take() {
-        retries[advance()]++;
-        retriesInRing++;
+    void take(Criticality criticality) {
+        retries.increment();
+        if (criticality == Criticality.CRITICAL) {
+            criticalRetries.increment();
+        }
     }
 }
--- a/sequoianotch-policy/src/test/java/org/sequoianotch/policy/retry/RetryBoundTest.java
+++ b/sequoianotch-policy/src/test/java/org/sequoianotch/policy/retry/RetryBoundTest.java
@@ -67,7 +67,7 @@
         RetryAllowance unused = RetryAllowance.of(3);
         int retries = 0;
         for (int i = 0; i < 1_000; i++) {
-            policy.onFirstAttempt();
+            policy.onFirstAttempt(Criticality.STANDARD);
             RetryAllowance allowance = RetryAllowance.of(3);
             while (policy.mayRetry(failedAttempt(ErrorKind.OVERLOADED, RepeatRule.SAFE, 100), allowance)) {
                 retries++;
--- a/sequoianotch-policy/src/test/java/org/sequoianotch/policy/retry/SharedRetryBudgetReplayTest.java
+++ b/sequoianotch-policy/src/test/java/org/sequoianotch/policy/retry/SharedRetryBudgetReplayTest.java
@@ -41,14 +41,18 @@
 
     @ParameterizedTest
     @CsvSource({
-        // nodes, calls per second of all nodes, share rejected, seconds
-        "93, 2000, 0.55, 8.5",
-        "93, 500, 0.30, 5",
-        "24, 400, 0.55, 8",
-        "24, 60, 0.9, 20",
-        "3, 1000, 1.0, 2",
+        // nodes, calls per second of all nodes, share of critical calls, share rejected, seconds
+        "93, 2000, 0, 0.55, 8.5",
+        "93, 500, 0, 0.30, 5",
+        "24, 400, 0, 0.55, 8",
+        "24, 60, 0, 0.9, 20",
+        "3, 1000, 0, 1.0, 2",
+        "9, 2700, 0.25, 0.55, 8.5",
+        "9, 600, 0.1, 0.40, 5",
+        "24, 400, 1, 0.55, 8",
     })
-    void retriesOfAllNodesUseTheLimitAndKeepIt(int nodes, double callsPerS, double rejectedShare, double forS) {
+    void retriesOfAllNodesUseTheLimitAndKeepIt(
+            int nodes, double callsPerS, double criticalShare, double rejectedShare, double forS) {
         Random random = new Random(1);
         List<RedirectRetryPolicy> policies = new ArrayList<>();
         double[] weights = new double[nodes];
@@ -59,17 +63,26 @@
             totalWeight += weights[i];
         }
         int rejected = 0;
+        int criticalRejected = 0;
+        int criticalRetried = 0;
         while (clock.monotonicMs() < END_MS) {
             double nowMs = clock.monotonicMs();
             RedirectRetryPolicy policy = policies.get(draw(weights, random.nextDouble() * totalWeight));
-            policy.onFirstAttempt();
+            Criticality criticality =
+                    random.nextDouble() < criticalShare ? Criticality.CRITICAL : Criticality.SHEDDABLE;
+            policy.onFirstAttempt(criticality);
             callsAtMs.add(nowMs);
             boolean troubled = nowMs >= START_MS && nowMs < START_MS + 1_000 * forS;
             if (troubled && random.nextDouble() < rejectedShare) {
+                boolean retried = policy.mayRetry(rejection(criticality), RetryAllowance.of(1));
                 rejected++;
-                if (policy.mayRetry(rejection(), RetryAllowance.of(1))) {
+                if (retried) {
                     retriesAtMs.add(nowMs);
                 }
+                if (criticality == Criticality.CRITICAL) {
+                    criticalRejected++;
+                    criticalRetried += retried ? 1 : 0;
+                }
             }
             clock.advance(-Math.log(1 - random.nextDouble()) * 1_000 / callsPerS);
         }
@@ -81,6 +94,10 @@
         }
         double usable = Math.min(rejected, limit(START_MS) * Math.max(1, forS * 1_000 / WINDOW_MS));
         assertThat(retriesAtMs.size() / usable).isAtLeast(MIN_USED_PART);
+        double criticalUsable = Math.min(criticalRejected, usable / 2);
+        assertWithMessage("retries of critical calls, as part of those that half of the limit allows")
+                .that(criticalRetried)
+                .isAtLeast((int) (MIN_USED_PART * criticalUsable));
     }
 
     private static int draw(double[] weights, double point) {
@@ -94,9 +111,9 @@
         return weights.length - 1;
     }
 
-    private static FailedAttempt rejection() {
+    private static FailedAttempt rejection(Criticality criticality) {
         Failure failure = Failure.of(ErrorKind.INSTANCE_REFUSED, "The instance rejected the call.");
-        return new FailedAttempt(failure, RepeatRule.SAFE, Criticality.STANDARD, 1, 500);
+        return new FailedAttempt(failure, RepeatRule.SAFE, criticality, 1, 500);
     }
 
     private double limit(double fromMs) {
--- a/sequoianotch-policy/src/test/java/org/sequoianotch/policy/simulation/SimulatedClient.java
+++ b/sequoianotch-policy/src/test/java/org/sequoianotch/policy/simulation/SimulatedClient.java
@@ -43,7 +43,7 @@
     }
 
     void call(SimulatedRequest.Call call) {
-        retryPolicy.onFirstAttempt();
+        retryPolicy.onFirstAttempt(call.request().criticality);
         new Attempts(call).next();
     }
 
