Make each host send on its links in the test of unexpected exceptions

Cause: ControlGroupTest.groupSurvivesAnUnexpectedExceptionOnEachLink waited for an exception on each of the six links, but a follower sends nothing.

Change: the test isolates each host in turn, which makes it a candidate that sends on both of its links. The check of all links, the change and the bound of 20 s stay.

--- a/sequoianotch-control/src/test/java/org/sequoianotch/control/ControlGroupTest.java
+++ b/sequoianotch-control/src/test/java/org/sequoianotch/control/ControlGroupTest.java
@@ -107,7 +107,16 @@
                     }
                 }
             }
-            ControlHosts.await("an exception on each link", hosts.network.linksThrowingOnce::isEmpty);
+            for (HostId host : List.copyOf(hosts.groups.keySet())) {
+                // Only a leader or a candidate sends requests; an isolated host becomes a candidate.
+                hosts.network.isolatedHosts.add(host.name());
+                ControlHosts.await(
+                        "an exception on each link of " + host,
+                        () -> hosts.network.linksThrowingOnce.stream().noneMatch(link -> link.startsWith(host + ">")));
+                hosts.network.isolatedHosts.remove(host.name());
+                hosts.leader();
+            }
+            assertThat(hosts.network.linksThrowingOnce).isEmpty();
             ChangeRequest request = change("c1", "ana", 1_000, 0);
 
             assertThat(ControlHosts.applyWithRetries(
