Keep the instances of a service grouped by distance between selections

Change: the selector keeps the groups until the instances change, evaluates other regions only if the lowest latency known could justify it, and draws uniformly after the slow start of all instances. Weights, costs and probes are as before.

Result: the tests of the selector, the cross-region price and overload pass unchanged. The effect on processor time was not measured on its own.

--- a/sequoianotch-policy/src/main/java/org/sequoianotch/policy/routing/ProtectiveSelector.java
+++ b/sequoianotch-policy/src/main/java/org/sequoianotch/policy/routing/ProtectiveSelector.java
@@ -68,6 +68,15 @@
     private final RandomGenerator random;
     private final Map<HostId, InstanceStats> statsByHost = new HashMap<>();
     private double nextEvictionMs = Double.NEGATIVE_INFINITY;
+    private @Nullable CandidateGroups groups;
+    private @Nullable List<Instance> groupedFrom;
+    private int ejectedCount;
+    /** Until this time, some instance may be in its slow-start period. */
+    private double slowStartEndsAtMs = Double.NEGATIVE_INFINITY;
+    /** Estimate of the latency of the service without load: the lowest average of any instance. */
+    private double lowestLatencyMs = Double.POSITIVE_INFINITY;
+    /** Lower bound of the averages, also of those of few samples. */
+    private double lowestAverageMs = Double.POSITIVE_INFINITY;
 
     /**
      * Creates the selector of one service at one node.
@@ -99,27 +108,31 @@
     public synchronized Optional<Instance> select(RoutingRequest request, List<Instance> candidates) {
         double nowMs = clock.monotonicMs();
         evictIdleStats(nowMs);
-        List<Candidate> usable = new ArrayList<>();
-        for (Instance instance : candidates) {
-            if (instance.state().acceptsWork() && !request.excludedHosts().contains(instance.host())) {
-                usable.add(new Candidate(instance, stats(instance.host(), nowMs)));
+        CandidateGroups known = groupsOf(candidates, nowMs);
+        CandidateGroups usable =
+                request.excludedHosts().isEmpty() ? known : known.without(request.excludedHosts()::contains);
+        if (ejectedCount > 0) {
+            Candidate probe = dueProbe(request.criticality(), usable, nowMs);
+            if (probe != null) {
+                probe.stats().startProbe(nowMs);
+                return Optional.of(probe.instance());
             }
+            CandidateGroups healthy = usable.withoutEjected();
+            usable = healthy.isEmpty() ? usable : healthy;
         }
-        Candidate probe = dueProbe(request.criticality(), usable, nowMs);
-        if (probe != null) {
-            probe.stats().startProbe(nowMs);
-            return Optional.of(probe.instance());
-        }
-        List<Candidate> healthy = new ArrayList<>(usable.size());
-        for (Candidate candidate : usable) {
-            if (!candidate.stats().isEjected()) {
-                healthy.add(candidate);
-            }
-        }
-        Candidate chosen = chooseByDistance(request, healthy.isEmpty() ? usable : healthy, nowMs);
+        Candidate chosen = chooseByDistance(request, usable, nowMs);
         return chosen == null ? Optional.empty() : Optional.of(chosen.instance());
     }
 
+    /** Groups the instances again only if they have changed; the list of a service stays the same object until then. */
+    private CandidateGroups groupsOf(List<Instance> candidates, double nowMs) {
+        if (groups == null || groupedFrom != candidates) {
+            groups = CandidateGroups.of(candidates, homeDataCentre, homeRegion, host -> stats(host, nowMs));
+            groupedFrom = candidates;
+        }
+        return groups;
+    }
+
     @Override
     public synchronized Attempt start(Instance instance) {
         InstanceStats stats = stats(instance.host(), clock.monotonicMs());
@@ -131,54 +144,45 @@
      * Finds an ejected instance of the home region that is due for a probe, or of any region if no usable instance is
      * in the home region.
      */
-    private @Nullable Candidate dueProbe(Criticality criticality, List<Candidate> usable, double nowMs) {
+    private static @Nullable Candidate dueProbe(Criticality criticality, CandidateGroups usable, double nowMs) {
         double extraDelayMs = criticality == Criticality.CRITICAL ? CRITICAL_PROBE_DELAY_MS : 0;
-        boolean hasHomeCandidate = false;
-        Candidate due = null;
-        Candidate dueAtHome = null;
-        for (Candidate candidate : usable) {
-            boolean atHome = isInHomeRegion(candidate.instance());
-            hasHomeCandidate |= atHome;
-            if (candidate.stats().isProbeDue(nowMs, extraDelayMs)) {
-                due = due == null ? candidate : due;
-                dueAtHome = dueAtHome == null && atHome ? candidate : dueAtHome;
-            }
+        if (usable.local().isEmpty() && usable.restOfRegion().isEmpty()) {
+            return firstDue(usable.otherRegions(), nowMs, extraDelayMs);
         }
-        return hasHomeCandidate ? dueAtHome : due;
+        Candidate due = firstDue(usable.local(), nowMs, extraDelayMs);
+        return due == null ? firstDue(usable.restOfRegion(), nowMs, extraDelayMs) : due;
     }
 
-    private @Nullable Candidate chooseByDistance(RoutingRequest request, List<Candidate> candidates, double nowMs) {
-        List<Candidate> local = new ArrayList<>();
-        List<Candidate> restOfRegion = new ArrayList<>();
-        List<Candidate> otherRegions = new ArrayList<>();
+    private static @Nullable Candidate firstDue(List<Candidate> candidates, double nowMs, double extraDelayMs) {
         for (Candidate candidate : candidates) {
-            if (!isInHomeRegion(candidate.instance())) {
-                otherRegions.add(candidate);
-            } else if (candidate.instance().dataCentre().equals(homeDataCentre)) {
-                local.add(candidate);
-            } else {
-                restOfRegion.add(candidate);
+            if (candidate.stats().isProbeDue(nowMs, extraDelayMs)) {
+                return candidate;
             }
         }
+        return null;
+    }
+
+    private @Nullable Candidate chooseByDistance(RoutingRequest request, CandidateGroups usable, double nowMs) {
         Criticality criticality = request.criticality();
+        List<Candidate> local = usable.local();
+        List<Candidate> restOfRegion = usable.restOfRegion();
         List<Candidate> preferred =
                 local.isEmpty() || spillsToRegion(criticality, local, restOfRegion, nowMs) ? restOfRegion : local;
         if (preferred == local && isBusierThan(local, restOfRegion, nowMs)) {
             preferred = new ArrayList<>(local);
             preferred.addAll(restOfRegion);
         }
-        if (preferred.isEmpty()) {
-            return chooseBetterOfTwo(criticality, otherRegions, nowMs);
-        }
         Candidate regional = chooseBetterOfTwo(criticality, preferred, nowMs);
-        Candidate remote = chooseBetterOfTwo(criticality, otherRegions, nowMs);
-        return regional != null && remote != null && justifiesCrossRegionCall(request, regional, remote, nowMs)
-                ? remote
-                : regional;
-    }
-
-    private boolean isInHomeRegion(Instance instance) {
-        return instance.region().equals(homeRegion);
+        if (regional != null && !mayJustifyCrossRegionCall(request, regional, nowMs)) {
+            return regional;
+        }
+        Candidate remote = chooseBetterOfTwo(criticality, usable.otherRegions(), nowMs);
+        boolean useRemote = regional == null
+                || remote != null
+                        && savingMs(request, regional, latencyOf(remote, nowMs), nowMs)
+                                        - refusalCostMs(criticality, remote, nowMs)
+                                > 0;
+        return useRemote ? remote : regional;
     }
 
     /** Tells whether this call is among those that the data centre does not admit, but the rest of the region does. */
@@ -213,30 +217,28 @@
         return candidates.isEmpty() ? 0 : sum / candidates.size();
     }
 
-    private boolean justifiesCrossRegionCall(
-            RoutingRequest request, Candidate regional, Candidate remote, double nowMs) {
+    /** Tells whether an instance of another region could be fast enough, whichever is chosen. */
+    private boolean mayJustifyCrossRegionCall(RoutingRequest request, Candidate regional, double nowMs) {
+        return savingMs(request, regional, Math.min(lowestLatencyMs, lowestAverageMs), nowMs) > 0;
+    }
+
+    /** Returns the time that a latency saves beyond the price of the volume and the uncertainty of the averages. */
+    private double savingMs(RoutingRequest request, Candidate regional, double remoteMs, double nowMs) {
         double regionalMs = regional.stats().latencyMs(nowMs) + refusalCostMs(request.criticality(), regional, nowMs);
-        double remoteMs = remote.stats().hasRecentLatency(nowMs)
-                ? remote.stats().undecayedLatencyMs()
-                : lowestLatencyMs() + CROSS_REGION_ROUND_TRIP_MS;
-        double savedMs = regionalMs - remoteMs - refusalCostMs(request.criticality(), remote, nowMs);
         double priceMs = crossRegionPriceMsPerKib * (request.bodyBytes() / BYTES_PER_KIB);
         double uncertaintyMs = Math.min(
                 CROSS_REGION_DEVIATIONS * regional.stats().deviationMs(), MAX_UNCERTAINTY_FRACTION * regionalMs);
-        return savedMs > priceMs + uncertaintyMs + MIN_SAVING_MS;
+        return regionalMs - remoteMs - priceMs - uncertaintyMs - MIN_SAVING_MS;
     }
 
-    private static double refusalCostMs(Criticality criticality, Candidate candidate, double nowMs) {
-        return REFUSAL_COST_MS * (1 - candidate.stats().admittedFraction(criticality, nowMs));
+    private double latencyOf(Candidate remote, double nowMs) {
+        return remote.stats().hasRecentLatency(nowMs)
+                ? remote.stats().undecayedLatencyMs()
+                : lowestLatencyMs + CROSS_REGION_ROUND_TRIP_MS;
     }
 
-    /** Estimates the latency of the service without load as the lowest average of any instance. */
-    private double lowestLatencyMs() {
-        double lowestMs = Double.POSITIVE_INFINITY;
-        for (InstanceStats stats : statsByHost.values()) {
-            lowestMs = Math.min(lowestMs, stats.lowestLatencyMs());
-        }
-        return lowestMs;
+    private static double refusalCostMs(Criticality criticality, Candidate candidate, double nowMs) {
+        return REFUSAL_COST_MS * (1 - candidate.stats().admittedFraction(criticality, nowMs));
     }
 
     /** Draws two candidates at random and returns the one with the lower cost, or null if there is none. */
@@ -244,27 +246,40 @@
         if (candidates.size() <= 1) {
             return candidates.isEmpty() ? null : candidates.getFirst();
         }
-        int first = drawWeighted(candidates, -1, nowMs);
-        int second = drawWeighted(candidates, first, nowMs);
+        int first = draw(candidates, -1, nowMs);
+        int second = draw(candidates, first, nowMs);
         Candidate one = candidates.get(first);
         Candidate other = candidates.get(second);
-        double defaultLatencyMs = averageLatencyMs(candidates, nowMs);
+        boolean bothKnown = one.stats().hasLatency() && other.stats().hasLatency();
+        double defaultLatencyMs = bothKnown ? 0 : averageLatencyMs(candidates, nowMs);
         return cost(criticality, one, defaultLatencyMs, nowMs) <= cost(criticality, other, defaultLatencyMs, nowMs)
                 ? one
                 : other;
     }
 
+    private int draw(List<Candidate> candidates, int excludedIndex, double nowMs) {
+        if (nowMs < slowStartEndsAtMs) {
+            return drawWeighted(candidates, excludedIndex, nowMs);
+        }
+        if (excludedIndex < 0) {
+            return random.nextInt(candidates.size());
+        }
+        int index = random.nextInt(candidates.size() - 1);
+        return index < excludedIndex ? index : index + 1;
+    }
+
     private int drawWeighted(List<Candidate> candidates, int excludedIndex, double nowMs) {
+        double wallClockMs = clock.nowMs();
         double total = 0;
         for (int i = 0; i < candidates.size(); i++) {
-            total += i == excludedIndex ? 0 : slowStartWeight(candidates.get(i), nowMs);
+            total += i == excludedIndex ? 0 : slowStartWeight(candidates.get(i), wallClockMs, nowMs);
         }
         double point = random.nextDouble() * total;
         int lastIndex = -1;
         for (int i = 0; i < candidates.size(); i++) {
             if (i != excludedIndex) {
                 lastIndex = i;
-                point -= slowStartWeight(candidates.get(i), nowMs);
+                point -= slowStartWeight(candidates.get(i), wallClockMs, nowMs);
                 if (point < 0) {
                     return i;
                 }
@@ -274,11 +289,11 @@
     }
 
     /** Weight that grows over the slow-start period. The longer of two ages is used, since clocks may differ. */
-    private double slowStartWeight(Candidate candidate, double nowMs) {
+    private double slowStartWeight(Candidate candidate, double wallClockMs, double nowMs) {
         if (rule.slowStartMs() == 0) {
             return 1;
         }
-        double announcedMs = clock.nowMs() - candidate.instance().startedAtMs();
+        double announcedMs = wallClockMs - candidate.instance().startedAtMs();
         double ageMs = Math.max(announcedMs, candidate.stats().ageMs(nowMs));
         return Math.clamp(ageMs / rule.slowStartMs(), MIN_SLOW_START_WEIGHT, 1.0);
     }
@@ -310,19 +325,42 @@
         if (known == null) {
             known = new InstanceStats(nowMs);
             statsByHost.put(host, known);
+            slowStartEndsAtMs = nowMs + rule.slowStartMs();
         }
         return known;
     }
 
     private void evictIdleStats(double nowMs) {
-        if (nowMs >= nextEvictionMs) {
-            nextEvictionMs = nowMs + IDLE_RETENTION_MS;
-            statsByHost.values().removeIf(stats -> stats.isIdleSince(nowMs - IDLE_RETENTION_MS));
+        if (nowMs < nextEvictionMs) {
+            return;
+        }
+        nextEvictionMs = nowMs + IDLE_RETENTION_MS;
+        statsByHost.values().removeIf(stats -> stats.isIdleSince(nowMs - IDLE_RETENTION_MS));
+        groups = null;
+        ejectedCount = 0;
+        lowestLatencyMs = Double.POSITIVE_INFINITY;
+        lowestAverageMs = Double.POSITIVE_INFINITY;
+        for (InstanceStats stats : statsByHost.values()) {
+            ejectedCount += stats.isEjected() ? 1 : 0;
+            noteLatency(stats);
         }
     }
 
-    /** An instance and its statistics. */
-    private record Candidate(Instance instance, InstanceStats stats) {}
+    private void noteLatency(InstanceStats stats) {
+        lowestLatencyMs = Math.min(lowestLatencyMs, stats.lowestLatencyMs());
+        if (stats.hasLatency()) {
+            lowestAverageMs = Math.min(lowestAverageMs, stats.undecayedLatencyMs());
+        }
+    }
+
+    private void finish(InstanceStats stats, AttemptResult result, double elapsedMs, @Nullable LoadReport load) {
+        boolean wasEjected = stats.isEjected();
+        stats.onFinish(result, elapsedMs, load, clock.monotonicMs());
+        noteLatency(stats);
+        if (stats.isEjected() != wasEjected) {
+            ejectedCount += wasEjected ? -1 : 1;
+        }
+    }
 
     /** Attempt that is counted as in flight until it is finished. */
     private final class CountedAttempt implements Attempt {
@@ -337,7 +375,7 @@
         public void finish(AttemptResult result, double latencyMs, @Nullable LoadReport load) {
             if (finished.compareAndSet(false, true)) {
                 synchronized (ProtectiveSelector.this) {
-                    stats.onFinish(result, latencyMs, load, clock.monotonicMs());
+                    ProtectiveSelector.this.finish(stats, result, latencyMs, load);
                 }
             }
         }
