Remember withdrawals of instances that are not known

A node that had restarted did not know the instance that withdrew, ignored the withdrawal, and registered the instance by an earlier heartbeat that arrived late.

Change: the registry keeps the withdrawals of the last heartbeat intervals by instance id and start time.

--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/InstanceRegistry.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/InstanceRegistry.java
@@ -1,6 +1,7 @@
 package org.sequoianotch.daemon.call;
 
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Objects;
 import org.apache.logging.log4j.LogManager;
@@ -13,22 +14,30 @@
  * Accepts the heartbeats of the instances on this host in the order in which they were sent.
  *
  * <p>Heartbeats may arrive late or out of order. One that is older than the latest known is ignored, so that it cannot
- * restore an instance that has announced its end or was replaced by a later incarnation.
+ * restore an instance that has announced its end or was replaced by a later incarnation. This also holds for an
+ * instance that announces its end before its first heartbeat, as after a restart of this process.
  *
  * <p>This class is thread-safe.
  */
 public final class InstanceRegistry {
     private static final Logger LOG = LogManager.getLogger(InstanceRegistry.class);
+    /** Heartbeats are late by seconds, in which far fewer instances of one host withdraw. */
+    private static final int MAX_WITHDRAWALS = 64;
 
     private final LocalInstances instances;
     private final Clock clock;
     private final double takeoverMs;
     private final Map<ServiceName, Incarnation> current = new HashMap<>();
+    /** The latest incarnations that withdrew, by instance id. */
+    private final Map<String, Withdrawal> withdrawals = new LinkedHashMap<>();
 
     /** The current incarnation of an instance, with the sequence number and arrival time of its newest heartbeat. */
     private record Incarnation(
             String instanceId, long startedAtMs, long sequence, double lastHeartbeatAtMs, boolean withdrawn) {}
 
+    /** The end that an incarnation announced, with the time at which the announcement arrived. */
+    private record Withdrawal(long startedAtMs, double atMs) {}
+
     /**
      * Creates a registry.
      *
@@ -54,6 +63,14 @@
     public synchronized boolean recordHeartbeat(InstanceHeartbeat heartbeat) {
         Announcement announcement = new Announcement(
                 heartbeat.service(), heartbeat.port(), heartbeat.slots(), heartbeat.state(), heartbeat.instanceId());
+        if (isWithdrawn(heartbeat)) {
+            LOG.info(
+                    "[member] Ignored heartbeat {} of instance {} started at {}, which has withdrawn.",
+                    heartbeat.sequence(),
+                    heartbeat.instanceId(),
+                    heartbeat.startedAtMs());
+            return false;
+        }
         Incarnation known = current.get(heartbeat.service());
         if (known != null && !isNewer(known, heartbeat)) {
             LOG.info(
@@ -83,6 +100,13 @@
         return true;
     }
 
+    private boolean isWithdrawn(InstanceHeartbeat heartbeat) {
+        Withdrawal withdrawal = withdrawals.get(heartbeat.instanceId());
+        return withdrawal != null
+                && heartbeat.startedAtMs() <= withdrawal.startedAtMs()
+                && clock.monotonicMs() - withdrawal.atMs() <= takeoverMs;
+    }
+
     private boolean isNewer(Incarnation known, InstanceHeartbeat heartbeat) {
         boolean sameIncarnation =
                 known.instanceId().equals(heartbeat.instanceId()) && known.startedAtMs() == heartbeat.startedAtMs();
@@ -101,6 +125,9 @@
      */
     public synchronized void withdraw(String instanceId, long startedAtMs) {
         ServiceName service = findService(instanceId, startedAtMs);
+        if (startedAtMs > 0) {
+            recordWithdrawn(instanceId, startedAtMs);
+        }
         if (service == null) {
             LOG.info("[member] Instance {} withdrew, but is not known on this host.", instanceId);
             return;
@@ -111,6 +138,14 @@
         instances.withdraw(service, instanceId);
     }
 
+    private void recordWithdrawn(String instanceId, long startedAtMs) {
+        withdrawals.remove(instanceId);
+        withdrawals.put(instanceId, new Withdrawal(startedAtMs, clock.monotonicMs()));
+        if (withdrawals.size() > MAX_WITHDRAWALS) {
+            withdrawals.remove(withdrawals.keySet().iterator().next());
+        }
+    }
+
     private @Nullable ServiceName findService(String instanceId, long startedAtMs) {
         for (Map.Entry<ServiceName, Incarnation> entry : current.entrySet()) {
             Incarnation known = entry.getValue();
--- a/sequoianotch-daemon/src/test/java/org/sequoianotch/daemon/call/InstanceRegistryTest.java
+++ b/sequoianotch-daemon/src/test/java/org/sequoianotch/daemon/call/InstanceRegistryTest.java
@@ -103,6 +103,25 @@
         assertThat(accepts()).isFalse();
     }
 
+    /**
+     * A restarted node knows none of its instances. One that leaves before its first heartbeat there must not come back
+     * into use through an earlier heartbeat that arrives late. A later incarnation may use its id again, and so may one
+     * whose wall clock was set back, after the time in which heartbeats can be late.
+     */
+    @Test
+    void lateHeartbeatDoesNotRestoreInstanceThatWithdrewUnknown() {
+        registry.withdraw("i-1", 100);
+        registry.withdraw("i-2", 900);
+
+        assertThat(heartbeat("i-1", 100, 7, BackendState.SERVING)).isFalse();
+        assertThat(accepts()).isFalse();
+        assertThat(heartbeat("i-1", 200, 1, BackendState.SERVING)).isTrue();
+        assertThat(accepts()).isTrue();
+        assertThat(heartbeat("i-2", 800, 1, BackendState.SERVING)).isFalse();
+        clock.advance(TAKEOVER_MS + 1);
+        assertThat(heartbeat("i-2", 800, 2, BackendState.SERVING)).isTrue();
+    }
+
     /** An instance may restart under the same id; its sequence numbers then start again. */
     @ParameterizedTest
     @CsvSource({"i-1", "i-2"})
