Use one piece of code for what the last changes wrote twice

Each tick of the membership computed its next time under the lock, which the tick thread does anyway afterwards. Each wait for a part of a message allocated a condition.

Change: each of them stands in one place; waits for a part share one condition again. deploy/build.sh keeps the processes of its training run in an array and removes their files by one pattern. Behaviour and tests are unchanged.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -27,6 +27,7 @@
 cp target/node.jvm "$options"
 "$java" "@$options" -XX:DumpLoadedClassList="$classes" \
     -jar target/app/sequoianotch-platform.jar self-test --requests 500
+pids=()
 # Addresses in the upper half of the loopback range that differ between concurrent builds, as those of the self-test.
 prefix="127.$((128 + ($$ >> 8 & 0x7f))).$(($$ & 0xff))"
 for role in control node; do
@@ -38,11 +39,11 @@
         "seeds = $prefix.200:18306" "first_start = true" "[control]" "data_folder = target/training.data" > "$settings"
     SEQUOIANOTCH_CONFIG="$settings" "$java" "@target/$role.jvm" -XX:DumpLoadedClassList="$classes.$role" \
         -jar target/app/sequoianotch-platform.jar "$role" > "target/training.$role.log" &
-    eval "$role=$!"
+    pids+=("$!")
 done
 sleep 4
-kill "$control" "$node"
-wait "$control" "$node"
+kill "${pids[@]}"
+wait "${pids[@]}"
 # The numbers of classes differ between the lists, and are only needed for class loaders that the programs do not use.
 cat "$classes" "$classes.control" "$classes.node" | sed 's/ id: [0-9]*$//' | awk '!seen[$0]++' > "$classes.all"
 mv "$classes.all" "$classes"
@@ -51,7 +52,7 @@
 sed -i 's/^-XX:+UseSerialGC$/-XX:+UseG1GC/' "$options"
 "$java" "@$options" -Xshare:dump -XX:+AOTClassLinking -XX:SharedClassListFile="$classes" \
     -XX:SharedArchiveFile=target/app.jsa -jar target/app/sequoianotch-platform.jar
-rm -rf "$classes" "$classes".* "$options" target/training.*
+rm -rf target/training.*
 for role in node control; do
     echo "-XX:SharedArchiveFile=target/app.jsa" >> "target/$role.jvm"
 done
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/LocalInstances.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/LocalInstances.java
@@ -14,6 +14,7 @@
 import org.apache.logging.log4j.Logger;
 import org.jspecify.annotations.Nullable;
 import org.sequoianotch.daemon.http.BackendClient;
+import org.sequoianotch.membership.Membership;
 import org.sequoianotch.model.BackendState;
 import org.sequoianotch.model.Instance;
 import org.sequoianotch.model.LoadReport;
@@ -30,8 +31,8 @@
 public final class LocalInstances {
     private static final Logger LOG = LogManager.getLogger(LocalInstances.class);
     private static final int CONNECT_TIMEOUT_MS = 500;
-    /** A host has one backend server with few services; members are announced with at most this many instances. */
-    static final int MAX_INSTANCES = 8;
+    /** A host has one backend server with few services. */
+    static final int MAX_INSTANCES = Membership.MAX_INSTANCES;
 
     private final NodeLocation location;
     private final InetAddress backendAddress;
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/BackendConnection.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/BackendConnection.java
@@ -274,7 +274,7 @@
 
     /** Ends a call whose response was read completely. Returns the connection to the pool if it can be reused. */
     public void release() {
-        if (reusable && requestComplete && channel.isActive() && queue.isEmpty()) {
+        if (reusable && requestComplete && channel.isActive()) {
             client.returnToPool(this);
         } else {
             channel.close();
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/InboundQueue.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/InboundQueue.java
@@ -21,6 +21,7 @@
 
     private final Channel channel;
     private final Signal arrived = new Signal();
+    private final BooleanSupplier hasPart = this::hasPart;
     private final ArrayDeque<HttpPart> parts = new ArrayDeque<>();
     private int queuedBytes;
     private boolean readingPaused;
@@ -45,22 +46,25 @@
 
     /** Waits for the next part. Returns empty after the timeout. A part that ends the connection is never removed. */
     Optional<HttpPart> take(long timeoutMs) throws InterruptedException {
-        return takeUnless(() -> false, timeoutMs);
+        arrived.await(hasPart, timeoutMs);
+        return poll();
     }
 
     /** Waits like {@link #take}, but also returns empty if there is no part and a condition holds. */
     Optional<HttpPart> takeUnless(BooleanSupplier condition, long timeoutMs) throws InterruptedException {
         arrived.await(() -> hasPart() || condition.getAsBoolean(), timeoutMs);
-        synchronized (this) {
-            HttpPart part = parts.peek();
-            if (part == null) {
-                return Optional.empty();
-            }
-            if (!(part instanceof HttpPart.Closed) && !(part instanceof HttpPart.Malformed)) {
-                remove(part);
-            }
-            return Optional.of(part);
+        return poll();
+    }
+
+    private synchronized Optional<HttpPart> poll() {
+        HttpPart part = parts.peek();
+        if (part == null) {
+            return Optional.empty();
+        }
+        if (!(part instanceof HttpPart.Closed) && !(part instanceof HttpPart.Malformed)) {
+            remove(part);
         }
+        return Optional.of(part);
     }
 
     /** Makes a waiting task check its condition again. */
--- a/sequoianotch-membership/src/main/java/org/sequoianotch/membership/FailureDetector.java
+++ b/sequoianotch-membership/src/main/java/org/sequoianotch/membership/FailureDetector.java
@@ -90,11 +90,11 @@
         double dueMs = Math.min(nextProbeAtMs, nextFailedMemberPingAtMs);
         dueMs = Math.min(dueMs, lastTickAtMs + options.probeIntervalMs() * MAX_TICK_GAP_FRACTION);
         Probe current = currentProbe;
-        if (current != null && !current.acknowledged && !current.indirect) {
-            dueMs = Math.min(dueMs, current.startedAtMs + scaled(options.probeIntervalMs() * DIRECT_TIMEOUT_FRACTION));
+        if (current != null) {
+            dueMs = Math.min(dueMs, indirectProbesAtMs(current));
         }
         for (RelayedProbe relayed : relayedProbes.values()) {
-            dueMs = Math.min(dueMs, relayed.startedAtMs + options.probeIntervalMs() * RELAYED_TIMEOUT_FRACTION);
+            dueMs = Math.min(dueMs, nackAtMs(relayed));
         }
         for (Member member : table.localPeers()) {
             if (member.state() == MemberState.SUSPECT) {
@@ -104,6 +104,17 @@
         return dueMs;
     }
 
+    /** Returns when the target of a probe is to be probed indirectly; infinity if that is not needed. */
+    private double indirectProbesAtMs(Probe probe) {
+        return probe.acknowledged || probe.indirect
+                ? Double.POSITIVE_INFINITY
+                : probe.startedAtMs + scaled(options.probeIntervalMs() * DIRECT_TIMEOUT_FRACTION);
+    }
+
+    private double nackAtMs(RelayedProbe relayed) {
+        return relayed.startedAtMs + options.probeIntervalMs() * RELAYED_TIMEOUT_FRACTION;
+    }
+
     private double suspicionEndsAtMs(Member member) {
         return Math.max(table.suspectedAtMs(member.host()), suspicionsRestartedAtMs)
                 + scaled(options.suspicionTimeoutMs());
@@ -114,10 +125,7 @@
         healthMultiplier = Math.min(MAX_HEALTH_MULTIPLIER, healthMultiplier + table.takeSelfSuspicions());
         table.takeNewlyReachable().forEach(this::addToProbeOrder);
         Probe current = currentProbe;
-        if (current != null
-                && !current.acknowledged
-                && !current.indirect
-                && nowMs >= current.startedAtMs + scaled(options.probeIntervalMs() * DIRECT_TIMEOUT_FRACTION)) {
+        if (current != null && nowMs >= indirectProbesAtMs(current)) {
             probeIndirectly(current);
         }
         if (nowMs >= nextProbeAtMs) {
@@ -293,7 +301,7 @@
         Iterator<RelayedProbe> iterator = relayedProbes.values().iterator();
         while (iterator.hasNext()) {
             RelayedProbe relayedProbe = iterator.next();
-            if (nowMs >= relayedProbe.startedAtMs + options.probeIntervalMs() * RELAYED_TIMEOUT_FRACTION) {
+            if (nowMs >= nackAtMs(relayedProbe)) {
                 iterator.remove();
                 replyToRequester(Datagram.Type.NACK, relayedProbe);
             }
--- a/sequoianotch-membership/src/main/java/org/sequoianotch/membership/Membership.java
+++ b/sequoianotch-membership/src/main/java/org/sequoianotch/membership/Membership.java
@@ -28,6 +28,9 @@
  * <p>This class is thread-safe.
  */
 public final class Membership implements AutoCloseable {
+    /** Most instances that a node can {@link #announce}. */
+    public static final int MAX_INSTANCES = MemberCodec.MAX_INSTANCES;
+
     private static final Logger LOG = LogManager.getLogger(Membership.class);
     private static final long MIN_TICK_MS = 10;
     private static final long LEAVE_POLL_MS = 100;
@@ -168,7 +171,7 @@
                 view = table.view();
             }
         }
-        deliverChanges();
+        notifyListeners();
         work.forEach(executor::execute);
     }
 
@@ -184,12 +187,12 @@
     /**
      * Announces the instances of this host's backend server; other nodes learn of them within seconds.
      *
-     * @param instances the instances; not null, at most eight; their host, data centre, region and peer address are
-     *     replaced by this node's
-     * @throws IllegalArgumentException if there are more than eight instances
+     * @param instances the instances; not null, at most {@link #MAX_INSTANCES}; their host, data centre, region and
+     *     peer address are replaced by this node's
+     * @throws IllegalArgumentException if there are more than {@link #MAX_INSTANCES} instances
      */
     public void announce(List<Instance> instances) {
-        MemberCodec.checkedSize(instances.size(), MemberCodec.MAX_INSTANCES);
+        MemberCodec.checkedSize(instances.size(), MAX_INSTANCES);
         List<Instance> own = instances.stream().map(this::withLocalIdentity).toList();
         synchronized (table) {
             table.announce(own);
@@ -328,20 +331,25 @@
         }
     }
 
-    /** Replaces the view and notifies the listeners, one thread at a time and without holding the lock. */
+    /** To be called after each change of the table outside a tick. */
     private void deliverChanges() {
         bringTickForward();
+        notifyListeners();
+    }
+
+    /** Replaces the view and notifies the listeners, one thread at a time and without holding the lock. */
+    private void notifyListeners() {
         if (pendingDeliveries.getAndIncrement() != 0) {
             return;
         }
         int seen = 1;
         do {
-            deliverChangesOnce();
+            notifyListenersOnce();
             seen = pendingDeliveries.addAndGet(-seen);
         } while (seen != 0);
     }
 
-    private void deliverChangesOnce() {
+    private void notifyListenersOnce() {
         List<Member> changed;
         MembershipView newView;
         synchronized (table) {
