--- a/review/standins/Mesh.java
+++ b/review/standins/Mesh.java
@@ -289,6 +289,7 @@
         /** Whether the body has the length that its framing states. */
         boolean complete;
         String end = "";
+        long tookMs;
 
         String text() {
             return new String(body, StandardCharsets.ISO_8859_1);
@@ -310,7 +311,10 @@
             request.writeBytes(head.append("\r\n").toString().getBytes(StandardCharsets.ISO_8859_1));
             request.writeBytes(body);
             socket.getOutputStream().write(request.toByteArray());
-            return read(socket.getInputStream());
+            long sentAt = now();
+            Answer answer = read(socket.getInputStream());
+            answer.tookMs = now() - sentAt;
+            return answer;
         }
     }
 
