--- a/review/standins/Mesh.java
+++ b/review/standins/Mesh.java
@@ -58,6 +58,14 @@
             }
         }
         Runtime.getRuntime().addShutdownHook(new Thread(this::killAll));
+        Thread main = Thread.currentThread();
+        Thread.setDefaultUncaughtExceptionHandler((thread, failure) -> {
+            failure.printStackTrace();
+            if (thread == main) {
+                System.out.println("the case could not run: " + failure);
+                System.exit(2);
+            }
+        });
     }
 
     private static String freePrefix() throws IOException {
