Give the places of lost control group members to their successors

Cause: each successor was admitted as a further voter at once, and a lost voter was removed after 12 s of silence only.

A new member takes the place of a voter that is gone; it becomes an additional voter only when every other voter has replied after it asked for admission. New members catch up side by side, ask all hosts at once, and need not be known by gossip. A member that stops in an orderly way announces it, so that its place is free and an election starts at once. A candidate that is denied a vote starts its next round sooner.

--- a/sequoianotch-control/src/main/java/org/sequoianotch/control/ControlGroup.java
+++ b/sequoianotch-control/src/main/java/org/sequoianotch/control/ControlGroup.java
@@ -176,6 +176,7 @@
         }
         current.raft().tick();
         current.tasks().refresh();
+        current.admission().changeMembers();
         if (options.formation().discardsCorruptFolder()
                 && !current.raft().status().fault().isEmpty()) {
             reopen(current);
@@ -230,10 +231,10 @@
                 && nowMs - contactAtMs
                         > LOST_CONTACT_ELECTION_TIMEOUTS * options.settings().electionTimeoutMs();
         try {
-            if (!current.raft().isVoter() || lostContact) {
+            // A new member that the leader sends its log to waits for its admission.
+            boolean waitsForAdmission = current.raft().status().inContact();
+            if (!current.raft().isVoter() && !waitsForAdmission || lostContact) {
                 current.admission().formOrJoin();
-            } else {
-                current.admission().removeUnresponsive();
             }
         } catch (IllegalArgumentException e) {
             LOGGER.warn("[control] A control host sent a malformed response: {}", e.getMessage());
@@ -454,6 +455,7 @@
             case ControlRequest.Fetch r -> Either.right(fetch(r).toBytes());
             case ControlRequest.AddMember r -> admission().addMember(r.host(), r.address());
             case ControlRequest.RemoveMember r -> admission().removeMember(r.host());
+            case ControlRequest.Leave r -> admission().handleLeave(r);
         };
     }
 
@@ -482,6 +484,7 @@
         return current;
     }
 
+    /** Stops this member, and announces that to the others, so that they need not wait for a timeout to notice it. */
     @Override
     public synchronized void close() {
         RunningMember current = running;
@@ -493,6 +496,7 @@
         current.tasks().close();
         threads.forEach(Thread::interrupt);
         current.raft().stop();
+        current.admission().announceLeave();
         current.store().close();
     }
 }
--- a/sequoianotch-control/src/main/java/org/sequoianotch/control/ControlRequest.java
+++ b/sequoianotch-control/src/main/java/org/sequoianotch/control/ControlRequest.java
@@ -45,6 +45,9 @@
     /** Removes a member; handled by the leader only. */
     record RemoveMember(HostId host) implements ControlRequest {}
 
+    /** Announces that a member stops in an orderly way, and that it has withdrawn from the group in a term. */
+    record Leave(String memberId, long term) implements ControlRequest {}
+
     /** Response to {@link Hello}. */
     record HelloResponse(Member member, boolean formed, String founders) {
         byte[] toBytes() {
@@ -96,6 +99,7 @@
             case Fetch r -> encoder.number(5).number(r.knownRevision).number(r.waitMs);
             case AddMember r -> encoder.number(6).text(r.host.name()).text(r.address);
             case RemoveMember r -> encoder.number(7).text(r.host.name());
+            case Leave r -> encoder.number(8).text(r.memberId).number(r.term);
         }
         return encoder.toBytes();
     }
@@ -112,7 +116,8 @@
             case 5 -> new Fetch(decoder.number(), decoder.number());
             case 6 -> new AddMember(HostId.of(decoder.text()), decoder.text());
             case 7 -> new RemoveMember(HostId.of(decoder.text()));
-            default -> throw new IllegalArgumentException("unknown control request type " + type + "; expected 0 to 7");
+            case 8 -> new Leave(decoder.text(), decoder.number());
+            default -> throw new IllegalArgumentException("unknown control request type " + type + "; expected 0 to 8");
         };
     }
 
--- a/sequoianotch-control/src/main/java/org/sequoianotch/control/GroupFormation.java
+++ b/sequoianotch-control/src/main/java/org/sequoianotch/control/GroupFormation.java
@@ -1,6 +1,8 @@
 package org.sequoianotch.control;
 
 import java.util.List;
+import org.sequoianotch.control.group.GroupSettings;
+import org.sequoianotch.control.group.MemberChangePolicy;
 
 /**
  * How a control group is formed, and how its members change without an operator.
@@ -40,6 +42,27 @@
         }
     }
 
+    /**
+     * Returns whether the group discovers its hosts and changes its members without an operator.
+     *
+     * @return false if the hosts are named in the settings
+     */
+    boolean isOpen() {
+        return removeUnresponsiveAfterMs > 0;
+    }
+
+    /**
+     * Returns the policy of membership changes.
+     *
+     * @param settings time limits of the group; not null
+     * @return the policy, never null
+     */
+    MemberChangePolicy memberChangePolicy(GroupSettings settings) {
+        // Until then an election may have delayed the replies of a voter that is in contact.
+        long goneAfterMs = 2 * settings.electionTimeoutMs();
+        return new MemberChangePolicy(goneAfterMs, removeUnresponsiveAfterMs, minVoters, maxVoters);
+    }
+
     /**
      * Creates the formation of a group whose members are named in the settings and changed by operators only.
      *
--- a/sequoianotch-control/src/main/java/org/sequoianotch/control/MemberAdmission.java
+++ b/sequoianotch-control/src/main/java/org/sequoianotch/control/MemberAdmission.java
@@ -1,6 +1,7 @@
 package org.sequoianotch.control;
 
 import io.vavr.control.Either;
+import java.util.Collection;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -9,11 +10,13 @@
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.UUID;
+import java.util.concurrent.ConcurrentSkipListMap;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.sequoianotch.control.ControlRequest.HelloResponse;
 import org.sequoianotch.control.group.Member;
+import org.sequoianotch.control.group.MemberChangePolicy;
 import org.sequoianotch.control.group.MemberSet;
 import org.sequoianotch.control.group.RaftMember;
 import org.sequoianotch.control.group.Role;
@@ -31,7 +34,7 @@
  *
  * <p>The first founder, which has the lowest host id or address, forms a new group once every founder has responded
  * that it belongs to no group and has the same list of founders. A host with an empty data folder that finds a group
- * requests admission; after its new identity has caught up, its previous identity is removed and the new one is added.
+ * requests admission; {@link MemberChangePolicy} decides when it becomes a voter, and in whose place.
  *
  * <p>This class is thread-safe.
  */
@@ -44,6 +47,7 @@
     private final RaftMember raft;
     private final PeerRequester requester;
     private final Clock clock;
+    private final MemberChangePolicy policy;
     private final AtomicBoolean memberChangeInProgress = new AtomicBoolean();
 
     MemberAdmission(
@@ -57,6 +61,7 @@
         this.raft = raft;
         this.requester = requester;
         this.clock = clock;
+        this.policy = options.formation().memberChangePolicy(options.settings());
     }
 
     HelloResponse helloResponse() {
@@ -76,11 +81,8 @@
         addresses.addAll(directory.hosts().values());
         addresses.remove(options.ownAddress());
         SortedMap<String, HelloResponse> responses = new TreeMap<>();
-        for (String address : addresses) {
-            request(address, new ControlRequest.Hello())
-                    .map(HelloResponse::of)
-                    .peek(response -> responses.put(address, response));
-        }
+        requestAll(addresses, new ControlRequest.Hello())
+                .forEach((address, bytes) -> responses.put(address, HelloResponse.of(bytes)));
         List<String> formed = responses.entrySet().stream()
                 .filter(entry -> entry.getValue().formed())
                 .map(Map.Entry::getKey)
@@ -88,7 +90,7 @@
         if (!formed.isEmpty()) {
             Member self = self();
             ControlRequest join = new ControlRequest.Join(self.id(), self.host(), self.address());
-            formed.forEach(address -> request(address, join));
+            requestAll(formed, join);
         } else if (!raft.isFormed() && mayForm(responses)) {
             MemberSet founders = new MemberSet(UUID.randomUUID().toString(), List.of(self()));
             for (String address : options.formation().founderAddresses()) {
@@ -114,33 +116,58 @@
                         .allMatch(address -> responses.get(address).founders().equals(founders.toString()));
     }
 
-    /** Handles a request to join; the leader admits the member in the background. */
+    /** Handles a request to join: the leader starts to replicate its log to the new member. */
     Either<Failure, byte[]> handleJoin(HostId from, ControlRequest.Join join) {
-        if (!from.equals(join.host()) || !directory.hosts().containsKey(from)) {
+        // A group that discovers its hosts may hear of a new host by this request first.
+        boolean isControlHost =
+                options.formation().isOpen() || directory.hosts().containsKey(from);
+        if (!from.equals(join.host()) || !isControlHost) {
             return Either.left(Failure.of(
                     ErrorKind.BAD_REQUEST,
                     "Host " + from + " requested admission for host " + join.host()
                             + "; only a known control host may request admission, and only for itself."));
         }
-        Member newMember = new Member(join.memberId(), join.host(), join.address());
-        return raft.readCurrent(() -> raft.status().members()).flatMap(members -> {
-            boolean known = members.member(newMember.id()).isPresent();
-            boolean hasCapacity = members.members().size() < options.formation().maxVoters()
-                    || members.memberOf(newMember.host()).isPresent();
-            if (!known && hasCapacity && memberChangeInProgress.compareAndSet(false, true)) {
-                TaskThreads.start("control-admission", () -> {
-                    try {
-                        admit(newMember)
-                                .peek(done -> LOGGER.info("[control] Admitted {}.", newMember))
-                                .peekLeft(failure ->
-                                        LOGGER.warn("[control] Failed to admit {}: {}", newMember, failure.detail()));
-                    } finally {
-                        memberChangeInProgress.set(false);
-                    }
-                });
-            }
-            return Either.right(new byte[0]);
-        });
+        return raft.addLearner(new Member(join.memberId(), join.host(), join.address()))
+                .map(added -> new byte[0]);
+    }
+
+    /** Records that a member stops in an orderly way. */
+    Either<Failure, byte[]> handleLeave(ControlRequest.Leave leave) {
+        LOGGER.info("[control] Member {} announced in term {} that it stops.", leave.memberId(), leave.term());
+        raft.onMemberLeaving(leave.memberId(), leave.term());
+        return Either.right(new byte[0]);
+    }
+
+    /** Tells all other members that this one stops; to be called after it has withdrawn from the group. */
+    void announceLeave() {
+        ControlRequest leave =
+                new ControlRequest.Leave(raft.status().memberId(), raft.status().term());
+        requestAll(raft.peers().stream().map(this::currentAddress).toList(), leave);
+    }
+
+    private String currentAddress(Member member) {
+        return directory.hosts().getOrDefault(member.host(), member.address());
+    }
+
+    /** Makes the next membership change that is due, as the leader. */
+    void changeMembers() {
+        if (!memberChangeInProgress.compareAndSet(false, true)) {
+            return;
+        }
+        try {
+            raft.changeMembers(policy)
+                    .ifPresent(change -> LOGGER.info(
+                            "[control] {} member {} on host {}: {}; the members are {}.",
+                            change.isAddition() ? "Adding" : "Removing",
+                            change.member().id(),
+                            change.member().host(),
+                            change.reason(),
+                            raft.status().members().members().stream()
+                                    .map(Member::id)
+                                    .toList()));
+        } finally {
+            memberChangeInProgress.set(false);
+        }
     }
 
     /** Adds the current identity of a host as the leader. */
@@ -165,22 +192,6 @@
         });
     }
 
-    /** Removes a member that has not replied for the configured time, as the leader, if enough members remain. */
-    void removeUnresponsive() {
-        GroupFormation formation = options.formation();
-        if (formation.removeUnresponsiveAfterMs() == 0
-                || raft.status().members().members().size() <= formation.minVoters()) {
-            return;
-        }
-        raft.unresponsiveVoter(formation.removeUnresponsiveAfterMs()).ifPresent(unresponsive -> removeMember(
-                        unresponsive.host())
-                .peek(done -> LOGGER.info(
-                        "[control] Removed {}, which had not replied for {} ms.",
-                        unresponsive,
-                        formation.removeUnresponsiveAfterMs()))
-                .peekLeft(failure -> LOGGER.warn("[control] Failed to remove {}: {}", unresponsive, failure.detail())));
-    }
-
     private interface MemberChange {
         Either<Failure, byte[]> run();
     }
@@ -232,6 +243,27 @@
                 "Member " + newMember.id() + " did not catch up within " + options.admissionTimeoutMs() + " ms."));
     }
 
+    /**
+     * Sends a request to several hosts at once, so that hosts that are lost delay it by one timeout only.
+     *
+     * @return the results by address, of the hosts that succeeded
+     */
+    private SortedMap<String, byte[]> requestAll(Collection<String> addresses, ControlRequest request) {
+        SortedMap<String, byte[]> results = new ConcurrentSkipListMap<>();
+        List<Thread> tasks = addresses.stream()
+                .map(address -> TaskThreads.start("control-request-" + address, () -> request(address, request)
+                        .peek(result -> results.put(address, result))))
+                .toList();
+        try {
+            for (Thread task : tasks) {
+                task.join();
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        return new TreeMap<>(results);
+    }
+
     private Either<Failure, byte[]> request(String address, ControlRequest request) {
         return requester
                 .request(
--- a/sequoianotch-control/src/main/java/org/sequoianotch/control/group/ElectionState.java
+++ b/sequoianotch-control/src/main/java/org/sequoianotch/control/group/ElectionState.java
@@ -29,6 +29,15 @@
         resetTimeout();
     }
 
+    /**
+     * Ends the protection of a leader that announced its stop. The next election starts within half of an election
+     * timeout, at a random time so that few members start one at once.
+     */
+    void onLeaderLeft() {
+        lastLeaderContactMs = Double.NEGATIVE_INFINITY;
+        electionDueAtMs = clock.monotonicMs() + timeoutMs * random.nextDouble() / 2;
+    }
+
     void resetTimeout() {
         electionDueAtMs = clock.monotonicMs() + timeoutMs * (1 + random.nextDouble());
     }
@@ -47,6 +56,14 @@
         resetTimeout();
     }
 
+    /**
+     * Brings the next round forward, at a random time, because another candidate has votes of this term. Two candidates
+     * that wait for the whole election timeout may leave a group without a leader for several of them.
+     */
+    void onVoteDenied() {
+        electionDueAtMs = Math.min(electionDueAtMs, clock.monotonicMs() + timeoutMs * (1 + random.nextDouble()) / 2);
+    }
+
     void addVote(String memberId) {
         votes.add(memberId);
     }
--- a/sequoianotch-control/src/main/java/org/sequoianotch/control/group/PeerProgress.java
+++ b/sequoianotch-control/src/main/java/org/sequoianotch/control/group/PeerProgress.java
@@ -12,6 +12,12 @@
     double sentAtMs = NEVER_MS;
     /** When the newest request acknowledged in the current term was created; the leader lease starts there. */
     double ackedSentAtMs = NEVER_MS;
+    /** When the first request without a reply was created; kept over the rounds of an election. */
+    double silentSinceMs = NEVER_MS;
+    /** Whether the peer has announced its stop and has not replied since. */
+    boolean leaving;
+    /** When the peer became a learner. */
+    double learnerSinceMs = NEVER_MS;
     /** True from a failed request until the next reply; the peer is sent heartbeats only. */
     boolean unresponsive;
 
@@ -28,6 +34,32 @@
         this.member = member;
     }
 
+    void onSent(double nowMs) {
+        inFlight = true;
+        sequence++;
+        sentAtMs = nowMs;
+        if (!isSilent()) {
+            silentSinceMs = nowMs;
+        }
+    }
+
+    void onCompleted(boolean replied) {
+        inFlight = false;
+        unresponsive = !replied;
+        if (replied) {
+            endSilence();
+            leaving = false;
+        }
+    }
+
+    boolean isSilent() {
+        return silentSinceMs != NEVER_MS;
+    }
+
+    void endSilence() {
+        silentSinceMs = NEVER_MS;
+    }
+
     /** Discards the progress of an earlier term or election round, but keeps the sequence number. */
     void reset(long lastIndex) {
         inFlight = false;
--- a/sequoianotch-control/src/main/java/org/sequoianotch/control/group/PeerTable.java
+++ b/sequoianotch-control/src/main/java/org/sequoianotch/control/group/PeerTable.java
@@ -3,10 +3,10 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Collections;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.function.BiFunction;
@@ -59,9 +59,68 @@
         peers.values().forEach(peer -> peer.reset(replica.store.lastIndex()));
     }
 
-    void addLearner(Member learner) {
+    void addLearner(Member learner, double nowMs) {
+        if (peers.containsKey(learner.id())) {
+            return;
+        }
         learners.put(learner.id(), learner);
         refresh();
+        Objects.requireNonNull(peers.get(learner.id())).learnerSinceMs = nowMs;
+    }
+
+    /** Removes the learners that have not replied for the given time; they ask for admission again when they can. */
+    void removeSilentLearners(double nowMs, long maxSilenceMs) {
+        learners.keySet().removeIf(id -> silentMs(peers.get(id), nowMs) >= maxSilenceMs);
+        refresh();
+    }
+
+    private static double silentMs(@Nullable PeerProgress peer, double nowMs) {
+        return peer == null || !peer.isSilent() ? 0 : nowMs - peer.silentSinceMs;
+    }
+
+    /** Ends the silence of all peers, for a member that sends them no requests any more. */
+    void endSilences() {
+        peers.values().forEach(PeerProgress::endSilence);
+    }
+
+    /** Starts the silences anew, for a process that was suspended and could not receive replies. */
+    void restartSilences(double nowMs) {
+        peers.values().stream().filter(PeerProgress::isSilent).forEach(peer -> peer.silentSinceMs = nowMs);
+    }
+
+    void setLeaving(String memberId) {
+        PeerProgress peer = peers.get(memberId);
+        if (peer != null) {
+            peer.leaving = true;
+        }
+    }
+
+    List<MemberChangePolicy.Voter> voters(double nowMs) {
+        return replica.members().members().stream()
+                .map(member -> voter(member, nowMs))
+                .toList();
+    }
+
+    private MemberChangePolicy.Voter voter(Member member, double nowMs) {
+        PeerProgress peer = peers.get(member.id());
+        if (peer == null) {
+            return new MemberChangePolicy.Voter(member, 0, false, Double.POSITIVE_INFINITY);
+        }
+        double silentMs = silentMs(peer, nowMs);
+        // A member that was restarted meanwhile replies to the first request.
+        boolean leaving = peer.leaving && silentMs >= settings.requestTimeoutMs();
+        return new MemberChangePolicy.Voter(member, silentMs, leaving, peer.ackedSentAtMs);
+    }
+
+    List<MemberChangePolicy.Learner> learners() {
+        return learners.keySet().stream()
+                .map(peers::get)
+                .filter(Objects::nonNull)
+                .map(peer -> new MemberChangePolicy.Learner(
+                        peer.member,
+                        !peer.unresponsive && peer.matchIndex >= replica.commitIndex(),
+                        peer.learnerSinceMs))
+                .toList();
     }
 
     void clearLearners() {
@@ -90,9 +149,7 @@
             return Optional.empty();
         }
         return requests.apply(peer, nowMs).map(request -> {
-            peer.inFlight = true;
-            peer.sequence++;
-            peer.sentAtMs = nowMs;
+            peer.onSent(nowMs);
             return new OutgoingRequest(peer.member, request, peer.sequence, nowMs);
         });
     }
@@ -112,8 +169,7 @@
         if (peer == null || !peer.inFlight || peer.sequence != outgoing.sequence()) {
             return Optional.empty();
         }
-        peer.inFlight = false;
-        peer.unresponsive = !replied;
+        peer.onCompleted(replied);
         return Optional.of(peer);
     }
 
@@ -217,14 +273,6 @@
         peers.values().forEach(peer -> peer.heartbeatRequested = true);
     }
 
-    /** Returns the voter that has not replied for longest, if that is at least the given time. */
-    Optional<Member> unresponsiveVoter(double nowMs, double leaderSinceMs, double minSilenceMs) {
-        return peers.values().stream()
-                .filter(peer -> peer.voter && Math.max(peer.ackedSentAtMs, leaderSinceMs) + minSilenceMs <= nowMs)
-                .min(Comparator.comparingDouble(peer -> peer.ackedSentAtMs))
-                .map(peer -> peer.member);
-    }
-
     /** Returns the latest time such that a majority of the members acknowledged a request created at or after it. */
     double majorityAckedSentAtMs(double nowMs) {
         List<Double> times = new ArrayList<>();
--- a/sequoianotch-control/src/main/java/org/sequoianotch/control/group/RaftMember.java
+++ b/sequoianotch-control/src/main/java/org/sequoianotch/control/group/RaftMember.java
@@ -54,6 +54,7 @@
     private Role role = Role.FOLLOWER;
     private @Nullable Member leader;
     private double leaderSinceMs;
+    private double lastTickAtMs;
     private long termStartIndex;
     private String fault = "";
 
@@ -74,6 +75,7 @@
         this.replica = new Replica(store, machine);
         this.ownId = store.memberId();
         this.peers = new PeerTable(ownId, settings, replica);
+        this.lastTickAtMs = clock.monotonicMs();
         peers.refresh();
     }
 
@@ -103,6 +105,10 @@
     public synchronized void tick() {
         runOrWithdraw(false, () -> {
             double nowMs = clock.monotonicMs();
+            if (nowMs - lastTickAtMs > settings.electionTimeoutMs() / 2.0) {
+                peers.restartSilences(nowMs);
+            }
+            lastTickAtMs = nowMs;
             if (role == Role.LEADER) {
                 double contactMs = Math.max(peers.majorityAckedSentAtMs(nowMs), leaderSinceMs);
                 if (contactMs + settings.electionTimeoutMs() < nowMs) {
@@ -165,6 +171,7 @@
             role = Role.FOLLOWER;
             leader = null;
             peers.reset();
+            peers.endSilences();
             election.resetTimeout();
         }
         changed.raise();
@@ -326,6 +333,8 @@
         boolean thisRound = role == (preVote ? Role.PRE_CANDIDATE : Role.CANDIDATE);
         if (thisRound && reply.granted()) {
             addVote(outgoing.peer().id());
+        } else if (thisRound && role == Role.CANDIDATE) {
+            election.onVoteDenied();
         }
     }
 
@@ -383,7 +392,7 @@
         if (!holdsLease()) {
             return Either.left(notLeading());
         }
-        peers.addLearner(learner);
+        peers.addLearner(learner, clock.monotonicMs());
         changed.raise();
         return Either.right(true);
     }
@@ -418,6 +427,47 @@
         return proposeEntry(EntryKind.MEMBERS, target.get().toBytes());
     }
 
+    /**
+     * Proposes the next membership change of a policy as the leader, once the previous one is committed. To be called
+     * regularly; a change that is lost with the leadership is decided again by the next leader.
+     *
+     * @param policy the policy; not null
+     * @return the change that was proposed, or empty if none is due or this member does not lead
+     */
+    public synchronized Optional<MemberChangePolicy.Change> changeMembers(MemberChangePolicy policy) {
+        if (!holdsLease() || !replica.membersCommitted()) {
+            return Optional.empty();
+        }
+        double nowMs = clock.monotonicMs();
+        if (policy.removeAfterMs() > 0) {
+            peers.removeSilentLearners(nowMs, policy.removeAfterMs());
+        }
+        Optional<MemberChangePolicy.Change> change = policy.nextChange(peers.voters(nowMs), peers.learners());
+        change.ifPresent(next -> changeMembers(
+                next.isAddition() ? next.member() : null,
+                next.isAddition() ? "" : next.member().id()));
+        return change;
+    }
+
+    /**
+     * Records that another member stops in an orderly way and has withdrawn from the group. If it was the leader, an
+     * election is held at once instead of after the election timeout.
+     *
+     * @param memberId identity of the member; not null
+     * @param leavingTerm the term in which it withdrew; a notice from an earlier term is ignored
+     */
+    public synchronized void onMemberLeaving(String memberId, long leavingTerm) {
+        if (leavingTerm < term()) {
+            return;
+        }
+        peers.setLeaving(memberId);
+        if (role == Role.FOLLOWER && leader != null && leader.id().equals(memberId)) {
+            leader = null;
+            election.onLeaderLeft();
+            changed.raise();
+        }
+    }
+
     /**
      * Reads the current state under the leader lease.
      *
@@ -471,18 +521,6 @@
         return isLeaderInTerm(startTerm) && confirmed && replica.commitIndex() >= termStartIndex;
     }
 
-    /**
-     * Returns a voter that has not replied to this leader for some time.
-     *
-     * @param minSilenceMs minimum time without a reply, in milliseconds; positive
-     * @return the voter without a reply for longest, or empty if there is none or this member does not lead
-     */
-    public synchronized Optional<Member> unresponsiveVoter(long minSilenceMs) {
-        return holdsLease()
-                ? peers.unresponsiveVoter(clock.monotonicMs(), leaderSinceMs, minSilenceMs)
-                : Optional.empty();
-    }
-
     /**
      * Reads the local state, which may be stale.
      *
--- a/sequoianotch-control/src/test/java/org/sequoianotch/control/group/GroupSimulation.java
+++ b/sequoianotch-control/src/test/java/org/sequoianotch/control/group/GroupSimulation.java
@@ -11,6 +11,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import org.jspecify.annotations.Nullable;
 import org.sequoianotch.control.codec.Decoder;
 import org.sequoianotch.control.codec.Encoder;
 import org.sequoianotch.control.log.MemberStore;
@@ -35,7 +36,12 @@
         TemplateState state = new TemplateState();
         RaftMember raft;
         boolean up = true;
+        /** Whether the process is suspended; what arrives meanwhile is handled afterwards. */
+        boolean suspended;
+
         int run;
+        private double joinDueAtMs;
+        private double contactAtMs;
 
         Host(int number) {
             id = HostId.of("host-" + number);
@@ -70,6 +76,39 @@
             start();
         }
 
+        /** Stops in an orderly way, which the other hosts are told of. */
+        void stopWithNotice() {
+            GroupStatus last = raft.status();
+            stop();
+            for (Host other : hosts) {
+                schedule(delayMs(), () -> {
+                    if (other.up && isDelivered(this, other)) {
+                        other.raft.onMemberLeaving(last.memberId(), last.term());
+                    }
+                });
+            }
+        }
+
+        /** Asks all hosts for admission while this one has no vote or no contact, like a control host. */
+        private void requestAdmission() {
+            GroupStatus status = raft.status();
+            double nowMs = clock.monotonicMs();
+            contactAtMs = status.inContact() ? nowMs : contactAtMs;
+            boolean lostContact = nowMs - contactAtMs > 3 * SETTINGS.electionTimeoutMs();
+            if (nowMs < joinDueAtMs || raft.isVoter() && !lostContact || status.inContact()) {
+                return;
+            }
+            joinDueAtMs = nowMs + SETTINGS.electionTimeoutMs() / 2.0;
+            Member member = member();
+            for (Host other : hosts) {
+                schedule(delayMs(), () -> {
+                    if (other.up && !other.suspended && isDelivered(this, other)) {
+                        other.raft.addLearner(member);
+                    }
+                });
+            }
+        }
+
         boolean isLeader() {
             return up && raft.status().role() == Role.LEADER;
         }
@@ -97,6 +136,10 @@
     double lossRate;
     double repeatRate;
     long maxDelayMs = 5;
+    /** Decides the membership changes of the leader; null for a group with fixed members. */
+    @Nullable
+    MemberChangePolicy policy;
+
     private final PriorityQueue<Event> events = new PriorityQueue<>();
     private long eventNumber;
 
@@ -109,6 +152,13 @@
         hosts.get(0).raft.form(new MemberSet("group", founders));
     }
 
+    /** Starts a host with an empty disk that the group does not know. */
+    Host startNewHost() {
+        Host host = new Host(hosts.size());
+        hosts.add(host);
+        return host;
+    }
+
     /** Cuts or restores the links between a host and all others, in both directions. */
     void isolate(Host host, boolean cut) {
         for (Host other : hosts) {
@@ -138,8 +188,12 @@
             events.poll().action.run();
         }
         for (Host host : hosts) {
-            if (host.up) {
+            if (host.up && !host.suspended) {
                 host.raft.tick();
+                if (policy != null) {
+                    host.raft.changeMembers(policy);
+                    host.requestAdmission();
+                }
                 host.raft
                         .peers()
                         .forEach(peer -> host.raft.nextRequest(peer.id()).ifPresent(outgoing -> send(host, outgoing)));
@@ -178,6 +232,10 @@
         if (!to.up) {
             return;
         }
+        if (to.suspended) {
+            schedule(STEP_MS, () -> deliver(from, sender, to, outgoing));
+            return;
+        }
         GroupMessage.Request request = (GroupMessage.Request) copyOf(outgoing.request());
         GroupMessage.Reply reply =
                 (GroupMessage.Reply) copyOf(to.raft.handle(outgoing.peer().id(), request));
