Take the end of a body without a length only from the instance

Cause: Netty's codec ends a body that only the end of the connection delimits when its channel becomes inactive, also if the node itself has closed it, at the deadline, after a cancellation or because a write failed.

Change: PeerCloseDetector observes the orderly end of the peer's output; the decoder ignores the end of such a body on a channel that became inactive without it. Connections to instances allow half-closure for that.

--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/BackendClient.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/BackendClient.java
@@ -72,13 +72,14 @@
         this.clock = clock;
         this.bootstrap = Transport.clientBootstrap(eventLoops)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMs)
+                .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
                 .option(
                         ChannelOption.WRITE_BUFFER_WATER_MARK,
                         new WriteBufferWaterMark(WRITE_LOW_WATER_BYTES, WRITE_HIGH_WATER_BYTES))
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
-                        channel.pipeline().addLast(new HttpClientCodec());
+                        channel.pipeline().addLast(new PeerCloseDetector(), new HttpClientCodec());
                     }
                 });
     }
@@ -106,9 +107,10 @@
         InboundQueue queue = new InboundQueue(channel);
         ChannelWriter writer = new ChannelWriter(channel);
         BackendConnection connection = new BackendConnection(this, channel, queue, writer, acceptsCloseDelimitedBody);
+        PeerCloseDetector peerClose = channel.pipeline().get(PeerCloseDetector.class);
         channel.pipeline()
                 .addFirst(connection.idleGuard())
-                .addLast(new HttpPartDecoder(queue, writer, () -> removeFromPool(connection)));
+                .addLast(new HttpPartDecoder(queue, writer, () -> removeFromPool(connection), peerClose::isCut));
         if (!channel.isActive()) {
             queue.put(new HttpPart.Closed("the connection was closed immediately after it was opened"));
         }
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/HttpPartDecoder.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/HttpPartDecoder.java
@@ -18,6 +18,7 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.function.BooleanSupplier;
 import org.sequoianotch.protocol.HeaderField;
 
 /** Converts Netty's HTTP objects to {@link HttpPart}s and adds them to the queue of the connection. */
@@ -30,14 +31,29 @@
     private final InboundQueue queue;
     private final ChannelWriter writer;
     private final Runnable onClosed;
+    private final BooleanSupplier isCut;
     private boolean malformed;
     private boolean informational;
     private int informationalResponses;
 
+    /** Creates a decoder of requests; each shows where it ends. */
     HttpPartDecoder(InboundQueue queue, ChannelWriter writer, Runnable onClosed) {
+        this(queue, writer, onClosed, () -> false);
+    }
+
+    /**
+     * Creates a decoder.
+     *
+     * @param queue receives the parts; not null
+     * @param writer notified when the channel accepts more data; not null
+     * @param onClosed run when the channel is closed; not null
+     * @param isCut whether the channel has ended, but not by an orderly close of the peer; not null
+     */
+    HttpPartDecoder(InboundQueue queue, ChannelWriter writer, Runnable onClosed, BooleanSupplier isCut) {
         this.queue = queue;
         this.writer = writer;
         this.onClosed = onClosed;
+        this.isCut = isCut;
     }
 
     @Override
@@ -116,7 +132,8 @@
         if (buffer.isReadable()) {
             queue.put(new HttpPart.Data(ByteBufUtil.getBytes(buffer)));
         }
-        if (content instanceof LastHttpContent) {
+        // When a channel becomes inactive, the codec ends a body that only the end of the connection delimits.
+        if (content instanceof LastHttpContent && !isCut.getAsBoolean()) {
             queue.setPartialMessage(false);
             queue.put(new HttpPart.End());
         }
--- a/sequoianotch-daemon/src/test/java/org/sequoianotch/daemon/http/BackendClientTest.java
+++ b/sequoianotch-daemon/src/test/java/org/sequoianotch/daemon/http/BackendClientTest.java
@@ -21,6 +21,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.sequoianotch.error.ErrorKind;
 import org.sequoianotch.error.Failure;
 import org.sequoianotch.protocol.ResponseHeader;
@@ -126,6 +127,43 @@
                 .isEqualTo(ErrorKind.BACKEND_CUT_ANSWER);
     }
 
+    /**
+     * A deadline or a cancellation closes the connection on our side. A body that only the end of the connection
+     * delimits must not be taken for complete then, whatever part of it has arrived.
+     */
+    @ParameterizedTest
+    @ValueSource(strings = {"HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 200 OK\r\n\r\nabcd", "HTTP/1.0 200 OK\r\n\r\nabcd"})
+    void closeDelimitedResponseIsTruncatedByOurOwnClose(String partial) throws Exception {
+        serve(partial, false);
+        BackendConnection connection = closeDelimitedClient().connect().get();
+        connection.start("GET", "/", List.of(), 0, TIMEOUT_MS);
+        assertThat(connection.awaitResponse(TIMEOUT_MS).isRight()).isTrue();
+        if (partial.endsWith("abcd")) {
+            assertThat(connection.readResponseBody(TIMEOUT_MS).get().orElseThrow())
+                    .isEqualTo("abcd".getBytes(StandardCharsets.US_ASCII));
+        }
+
+        connection.close();
+
+        assertThat(connection.readResponseBody(TIMEOUT_MS).getLeft().kind()).isEqualTo(ErrorKind.BACKEND_CUT_ANSWER);
+    }
+
+    /** The end of the connection must be noticed also if it arrives before the first request is sent. */
+    @Test
+    void connectionThatEndsBeforeItsFirstRequestIsClosed() throws Exception {
+        Thread.ofVirtual().start(() -> {
+            try {
+                server.accept().close();
+            } catch (IOException e) {
+                throw new IllegalStateException(e);
+            }
+        });
+        BackendConnection connection = closeDelimitedClient().connect().get();
+        connection.start("GET", "/", List.of(), 0, TIMEOUT_MS);
+
+        assertThat(connection.awaitResponse(TIMEOUT_MS).getLeft().kind()).isEqualTo(ErrorKind.CONNECTION_LOST);
+    }
+
     /** A second response that arrives late must not be taken for the response to the next request. */
     @Test
     void connectionWithUnexpectedInputIsNotReused() throws Exception {
