--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/InstanceRegistry.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/InstanceRegistry.java
@@ -4,9 +4,11 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.jspecify.annotations.Nullable;
+import org.sequoianotch.daemon.departure.Departure;
 import org.sequoianotch.model.ServiceName;
 import org.sequoianotch.time.Clock;
 
@@ -15,28 +17,29 @@
  *
  * <p>Heartbeats may arrive late or out of order. One that is older than the latest known is ignored, so that it cannot
  * restore an instance that has announced its end or was replaced by a later incarnation. This also holds for an
- * instance that announces its end before its first heartbeat, as after a restart of this process.
+ * instance that announces its end before its first heartbeat, as after a restart of this process, and for departures
+ * that other hosts have recorded before a restart.
  *
  * <p>This class is thread-safe.
  */
 public final class InstanceRegistry {
     private static final Logger LOG = LogManager.getLogger(InstanceRegistry.class);
-    /** Heartbeats are late by seconds, in which far fewer instances of one host withdraw. */
-    private static final int MAX_WITHDRAWALS = 64;
+    /** Heartbeats are late by seconds, in which far fewer instances of one host leave. */
+    private static final int MAX_DEPARTURES = 64;
 
     private final LocalInstances instances;
     private final Clock clock;
     private final double takeoverMs;
     private final Map<ServiceName, Incarnation> current = new HashMap<>();
-    /** The latest incarnations that withdrew, by instance id. */
-    private final Map<String, Withdrawal> withdrawals = new LinkedHashMap<>();
+    /** The latest departures, by instance id. */
+    private final Map<String, KnownDeparture> departures = new LinkedHashMap<>();
 
     /** The current incarnation of an instance, with the sequence number and arrival time of its newest heartbeat. */
     private record Incarnation(
             String instanceId, long startedAtMs, long sequence, double lastHeartbeatAtMs, boolean withdrawn) {}
 
-    /** The end that an incarnation announced, with the time at which the announcement arrived. */
-    private record Withdrawal(long startedAtMs, double atMs) {}
+    /** A departure with the time at which it became known here. */
+    private record KnownDeparture(Departure departure, double atMs) {}
 
     /**
      * Creates a registry.
@@ -63,9 +66,9 @@
     public synchronized boolean recordHeartbeat(InstanceHeartbeat heartbeat) {
         Announcement announcement = new Announcement(
                 heartbeat.service(), heartbeat.port(), heartbeat.slots(), heartbeat.state(), heartbeat.instanceId());
-        if (isWithdrawn(heartbeat)) {
+        if (hasDeparted(heartbeat)) {
             LOG.info(
-                    "[member] Ignored heartbeat {} of instance {} started at {}, which has withdrawn.",
+                    "[member] Ignored heartbeat {} of instance {} started at {}, which has left or is leaving.",
                     heartbeat.sequence(),
                     heartbeat.instanceId(),
                     heartbeat.startedAtMs());
@@ -100,11 +103,16 @@
         return true;
     }
 
-    private boolean isWithdrawn(InstanceHeartbeat heartbeat) {
-        Withdrawal withdrawal = withdrawals.get(heartbeat.instanceId());
-        return withdrawal != null
-                && heartbeat.startedAtMs() <= withdrawal.startedAtMs()
-                && clock.monotonicMs() - withdrawal.atMs() <= takeoverMs;
+    private boolean hasDeparted(InstanceHeartbeat heartbeat) {
+        KnownDeparture known = departures.get(heartbeat.instanceId());
+        if (known == null) {
+            return false;
+        }
+        if (heartbeat.startedAtMs() == known.departure().startedAtMs()) {
+            return heartbeat.sequence() <= known.departure().lastSequence();
+        }
+        return heartbeat.startedAtMs() < known.departure().startedAtMs()
+                && clock.monotonicMs() - known.atMs() <= takeoverMs;
     }
 
     private boolean isNewer(Incarnation known, InstanceHeartbeat heartbeat) {
@@ -122,27 +130,71 @@
      *
      * @param instanceId the instance; not null
      * @param startedAtMs start of its incarnation, in milliseconds since the Unix epoch; zero if it is not known
+     * @return the departure to record on other hosts, or empty if the incarnation is not known
      */
-    public synchronized void withdraw(String instanceId, long startedAtMs) {
+    public synchronized Optional<Departure> withdraw(String instanceId, long startedAtMs) {
         ServiceName service = findService(instanceId, startedAtMs);
-        if (startedAtMs > 0) {
-            recordWithdrawn(instanceId, startedAtMs);
-        }
+        long incarnationMs = startedAtMs == 0 && service != null
+                ? Objects.requireNonNull(current.get(service)).startedAtMs()
+                : startedAtMs;
         if (service == null) {
             LOG.info("[member] Instance {} withdrew, but is not known on this host.", instanceId);
+        } else {
+            withdraw(service, instanceId);
+        }
+        if (incarnationMs == 0) {
+            return Optional.empty();
+        }
+        Departure departure = new Departure(instanceId, incarnationMs, Departure.ALL_HEARTBEATS);
+        addDeparture(departure);
+        return Optional.of(departure);
+    }
+
+    /**
+     * Applies a departure that another host has recorded before this process was started.
+     *
+     * @param departure the departure; not null
+     */
+    public synchronized void restore(Departure departure) {
+        KnownDeparture known = departures.get(departure.instanceId());
+        if (known != null
+                && (known.departure().includes(departure)
+                        || known.departure().startedAtMs() > departure.startedAtMs())) {
             return;
         }
+        addDeparture(departure);
+        current.entrySet().stream()
+                .filter(entry -> isOutdated(entry.getValue(), departure))
+                .map(Map.Entry::getKey)
+                .findFirst()
+                .ifPresent(service -> {
+                    if (departure.lastSequence() == Departure.ALL_HEARTBEATS) {
+                        withdraw(service, departure.instanceId());
+                    } else {
+                        // The instance drains, and goes on to send heartbeats.
+                        instances.withdraw(service, departure.instanceId());
+                    }
+                });
+    }
+
+    private static boolean isOutdated(Incarnation incarnation, Departure departure) {
+        return incarnation.instanceId().equals(departure.instanceId())
+                && incarnation.startedAtMs() == departure.startedAtMs()
+                && incarnation.sequence() <= departure.lastSequence();
+    }
+
+    private void withdraw(ServiceName service, String instanceId) {
         Incarnation known = Objects.requireNonNull(current.get(service));
         current.put(
                 service, new Incarnation(instanceId, known.startedAtMs(), known.sequence(), clock.monotonicMs(), true));
         instances.withdraw(service, instanceId);
     }
 
-    private void recordWithdrawn(String instanceId, long startedAtMs) {
-        withdrawals.remove(instanceId);
-        withdrawals.put(instanceId, new Withdrawal(startedAtMs, clock.monotonicMs()));
-        if (withdrawals.size() > MAX_WITHDRAWALS) {
-            withdrawals.remove(withdrawals.keySet().iterator().next());
+    private void addDeparture(Departure departure) {
+        departures.remove(departure.instanceId());
+        departures.put(departure.instanceId(), new KnownDeparture(departure, clock.monotonicMs()));
+        if (departures.size() > MAX_DEPARTURES) {
+            departures.remove(departures.keySet().iterator().next());
         }
     }
 
--- a/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/Topic.java
+++ b/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/Topic.java
@@ -9,5 +9,7 @@
     /** Ledger of idempotency keys: claims, releases and completions. */
     LEDGER,
     /** Collection of request timelines and burn counters. */
-    EXPLAIN
+    EXPLAIN,
+    /** Departures of instances, which other hosts keep for the node beside the instance. */
+    DEPARTURES
 }
