Start calls that can meet their target before those that cannot

Cause: the calls of the least urgent class wait up to 300 ms at each of up to four instances. Each queue starts the one with the earliest deadline first, so that under a load a little over the capacity every call waits until it is just too late, and none that could be in time is started before those.

Change: the time until the target of the route travels with the call, and its sub-calls. Of equally important calls (criticality, then depth) those that can still meet it, by the mean run time of their kind, start first. Nothing is refused or given up for it, and no other class is put behind.

--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/AttemptRunner.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/AttemptRunner.java
@@ -88,6 +88,7 @@
                 outbound.path(),
                 outbound.headers(),
                 new RemainingTime(context, clock).remainingMs(),
+                context.targetLeftMs(clock),
                 context.criticality(),
                 context.allowance().takeShare(),
                 context.depth(),
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/BackendHandler.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/BackendHandler.java
@@ -97,7 +97,8 @@
         RequestId requestId = exchange.header(TraceParent.HEADER)
                 .flatMap(TraceParent::parse)
                 .orElseGet(() -> RequestId.random(ThreadLocalRandom.current()));
-        return new RequestContext(requestId, Criticality.SHEDDABLE, 1, deadlineAtMs, RetryAllowance.of(0));
+        return new RequestContext(
+                requestId, Criticality.SHEDDABLE, 1, deadlineAtMs, Double.POSITIVE_INFINITY, RetryAllowance.of(0));
     }
 
     private void announce(HttpExchange exchange) throws InterruptedException {
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/CallerHandler.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/CallerHandler.java
@@ -90,6 +90,7 @@
                 outbound.route().criticality(),
                 0,
                 startedAtMs + timeoutMs,
+                Double.POSITIVE_INFINITY,
                 RetryAllowance.of(outbound.route().retryAllowance()));
         recorder.record(
                 requestId,
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/InstanceServer.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/InstanceServer.java
@@ -85,6 +85,7 @@
                 header.criticality(),
                 header.depth() + 1,
                 clock.monotonicMs() + header.timeLeftMs(),
+                targetAtMs(header),
                 RetryAllowance.of(header.retryShare()));
         Timeout deadline = timer.newTimeout(
                 timeout -> context.cancel(
@@ -108,6 +109,12 @@
         }
     }
 
+    private double targetAtMs(CallHeader header) {
+        return header.targetLeftMs() == CallHeader.NO_TARGET
+                ? Double.POSITIVE_INFINITY
+                : clock.monotonicMs() + header.targetLeftMs();
+    }
+
     private void admit(IncomingCall call, RequestContext context) throws InterruptedException {
         LocalInstance instance = instances.find(call.header().service());
         if (instance == null) {
@@ -128,7 +135,8 @@
                         context.requestId(),
                         context.criticality(),
                         call.header().depth(),
-                        context.deadlineAtMs()));
+                        context.deadlineAtMs(),
+                        context.targetAtMs()));
         Runnable leaveQueue = pending::cancel;
         context.onCancel(leaveQueue);
         Either<Failure, Permit> admitted = pending.await();
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/RequestContext.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/RequestContext.java
@@ -11,6 +11,7 @@
 import org.sequoianotch.model.LoadReport;
 import org.sequoianotch.model.RequestId;
 import org.sequoianotch.policy.retry.RetryAllowance;
+import org.sequoianotch.protocol.CallHeader;
 import org.sequoianotch.time.Clock;
 
 /**
@@ -27,6 +28,7 @@
     private final Criticality criticality;
     private final int depth;
     private final double deadlineAtMs;
+    private final double targetAtMs;
     private final RetryAllowance allowance;
     /** The call that the backend server was serving when it made the sub-call of this context. */
     private final @Nullable RequestContext parent;
@@ -45,11 +47,18 @@
      * @param criticality criticality of the request; not null
      * @param depth depth in the call chain of calls that start from this context; zero at the entry node, not negative
      * @param deadlineAtMs deadline on the monotonic clock, in milliseconds
+     * @param targetAtMs time until which a response has its full value for the caller, on the monotonic clock, in
+     *     milliseconds; positive infinity if there is none
      * @param allowance retries that calls from this context may use; not null
      */
     public RequestContext(
-            RequestId requestId, Criticality criticality, int depth, double deadlineAtMs, RetryAllowance allowance) {
-        this(requestId, criticality, depth, deadlineAtMs, allowance, null);
+            RequestId requestId,
+            Criticality criticality,
+            int depth,
+            double deadlineAtMs,
+            double targetAtMs,
+            RetryAllowance allowance) {
+        this(requestId, criticality, depth, deadlineAtMs, targetAtMs, allowance, null);
     }
 
     private RequestContext(
@@ -57,12 +66,14 @@
             Criticality criticality,
             int depth,
             double deadlineAtMs,
+            double targetAtMs,
             RetryAllowance allowance,
             @Nullable RequestContext parent) {
         this.requestId = requestId;
         this.criticality = criticality;
         this.depth = depth;
         this.deadlineAtMs = deadlineAtMs;
+        this.targetAtMs = targetAtMs;
         this.allowance = allowance;
         this.parent = parent;
     }
@@ -73,15 +84,16 @@
     }
 
     /**
-     * Creates the context of a sub-call that is a request of its own. It has the criticality of this context and is
-     * cancelled with it until {@link #detach} is called.
+     * Creates the context of a sub-call that is a request of its own. It has the criticality and the target of this
+     * context, because its response is of use only for this request, and is cancelled with it until {@link #detach} is called.
      *
      * @param ownId id of the new request; not null
      * @param ownDeadlineAtMs deadline of the new request on the monotonic clock, in milliseconds
      * @param ownAllowance retries that the new request may use; not null
      */
     RequestContext newSubRequest(RequestId ownId, double ownDeadlineAtMs, RetryAllowance ownAllowance) {
-        RequestContext context = new RequestContext(ownId, criticality, depth, ownDeadlineAtMs, ownAllowance, this);
+        RequestContext context =
+                new RequestContext(ownId, criticality, depth, ownDeadlineAtMs, targetAtMs, ownAllowance, this);
         onCancel(context.cancelWithParent);
         return context;
     }
@@ -129,6 +141,22 @@
         return deadlineAtMs;
     }
 
+    /**
+     * Returns the time until which a response has its full value for the caller.
+     *
+     * @return the time on the monotonic clock, in milliseconds; positive infinity if there is none
+     */
+    double targetAtMs() {
+        return targetAtMs;
+    }
+
+    /** Returns the time until the target in milliseconds, as {@link CallHeader#targetLeftMs} has it. */
+    long targetLeftMs(Clock clock) {
+        return Double.isInfinite(targetAtMs)
+                ? CallHeader.NO_TARGET
+                : (long) Math.floor(targetAtMs - clock.monotonicMs());
+    }
+
     /**
      * Returns the time until the deadline.
      *
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/RouteHandler.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/RouteHandler.java
@@ -105,7 +105,8 @@
         double startedAtMs = clock.monotonicMs();
         long timeoutMs = Math.min(info.timeLeftMs(), route.timeoutMs());
         OutboundCall outbound = limits.outbound(exchange, table, info, route, route.chooseTarget(random));
-        RequestContext context = newContext(outbound, info, startedAtMs + timeoutMs);
+        RequestContext context =
+                newContext(outbound, info, startedAtMs + timeoutMs, startedAtMs + route.targetLatencyMs());
         Timeout deadline = timer.newTimeout(
                 timeout -> context.cancel(
                         Failure.of(ErrorKind.DEADLINE_IN_DOUBT, "The time limit of " + timeoutMs + " ms passed.")),
@@ -126,12 +127,13 @@
     }
 
     /** A request of the instance on this host runs in the context of the call that the instance is serving. */
-    private RequestContext newContext(OutboundCall outbound, CallerRequestInfo info, double deadlineAtMs) {
+    private RequestContext newContext(
+            OutboundCall outbound, CallerRequestInfo info, double deadlineAtMs, double targetAtMs) {
         RetryAllowance allowance = RetryAllowance.of(outbound.route().retryAllowance());
         return info.parent()
                 .flatMap(contexts::find)
                 .map(call -> call.newSubRequest(info.requestId(), deadlineAtMs, allowance))
                 .orElseGet(() -> new RequestContext(
-                        info.requestId(), outbound.route().criticality(), 0, deadlineAtMs, allowance));
+                        info.requestId(), outbound.route().criticality(), 0, deadlineAtMs, targetAtMs, allowance));
     }
 }
--- a/sequoianotch-policy/src/main/java/org/sequoianotch/policy/admission/AdmissionRequest.java
+++ b/sequoianotch-policy/src/main/java/org/sequoianotch/policy/admission/AdmissionRequest.java
@@ -13,8 +13,11 @@
  * @param criticality importance of the request; not null
  * @param depth number of calls above this one in the call chain, a measure of the work already spent; not negative
  * @param deadlineAtMs deadline on the monotonic clock, in milliseconds
+ * @param targetAtMs time until which a response has its full value for the caller, on the monotonic clock, in
+ *     milliseconds; positive infinity if there is none
  */
-public record AdmissionRequest(RequestId requestId, Criticality criticality, int depth, double deadlineAtMs) {
+public record AdmissionRequest(
+        RequestId requestId, Criticality criticality, int depth, double deadlineAtMs, double targetAtMs) {
     /**
      * Checks the depth.
      *
@@ -27,4 +30,16 @@
             throw new IllegalArgumentException("depth is " + depth + ", but must not be negative");
         }
     }
+
+    /**
+     * Creates a request without a target.
+     *
+     * @param requestId the request; not null
+     * @param criticality importance of the request; not null
+     * @param depth number of calls above this one in the call chain; not negative
+     * @param deadlineAtMs deadline on the monotonic clock, in milliseconds
+     */
+    public AdmissionRequest(RequestId requestId, Criticality criticality, int depth, double deadlineAtMs) {
+        this(requestId, criticality, depth, deadlineAtMs, Double.POSITIVE_INFINITY);
+    }
 }
--- a/sequoianotch-policy/src/main/java/org/sequoianotch/policy/admission/ProtectiveAdmission.java
+++ b/sequoianotch-policy/src/main/java/org/sequoianotch/policy/admission/ProtectiveAdmission.java
@@ -27,6 +27,7 @@
     private final InstanceAdmissionLevel instanceLevel;
     private final DownstreamAdmissionLevel downstreamLevel;
     private final CallQueue queue = new CallQueue();
+    private final RunTimeEstimate runTimes = new RunTimeEstimate();
     private int inFlight;
     private long nextSequence;
 
@@ -78,7 +79,8 @@
         synchronized (this) {
             double nowMs = clock.monotonicMs();
             double expiresAtMs = Math.min(nowMs + rule.queueTimeMs(), request.deadlineAtMs());
-            call = new QueuedCall(request, nextSequence++, nowMs, expiresAtMs, promise);
+            double latestStartMs = request.targetAtMs() - runTimes.of(request);
+            call = new QueuedCall(request, nextSequence++, nowMs, expiresAtMs, latestStartMs, promise);
             instanceLevel.onArrival(request.criticality(), request.depth());
             if (request.deadlineAtMs() <= nowMs) {
                 refuse(call, nowMs, "before it was queued", completions);
@@ -114,6 +116,9 @@
             double nowMs = clock.monotonicMs();
             limit.onEnd(nowMs, result, latencyMs, inFlight);
             downstreamLevel.onEnd(call.request().criticality(), admittedAtMs, result);
+            if (result == CallResult.SUCCEEDED) {
+                runTimes.record(call.request(), latencyMs);
+            }
             inFlight--;
             processQueue(nowMs, completions);
         }
@@ -135,6 +140,7 @@
         for (QueuedCall call : queue.removeExpired(nowMs)) {
             refuse(call, nowMs, "because it reached the queue time limit", completions);
         }
+        queue.update(nowMs);
         instanceLevel.update(nowMs);
         downstreamLevel.update(nowMs);
         @Nullable QueuedCall next = queue.mostImportant();
--- a/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/CallHeader.java
+++ b/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/CallHeader.java
@@ -19,6 +19,8 @@
  * @param path the path after the service name, with its query; not null; starts with a slash
  * @param headers the HTTP header fields to forward; not null
  * @param timeLeftMs time until the deadline, in milliseconds; positive
+ * @param targetLeftMs time until which a response has its full value for the caller, in milliseconds; zero or negative
+ *     if it has passed, {@link #NO_TARGET} if there is none
  * @param criticality priority of the request when load is shed; not null
  * @param retryShare number of retries that the callee may use; not negative
  * @param depth number of calls above this one in the call chain; zero for the call of the entry node
@@ -32,6 +34,7 @@
         String path,
         List<HeaderField> headers,
         long timeLeftMs,
+        long targetLeftMs,
         Criticality criticality,
         int retryShare,
         int depth,
@@ -40,6 +43,9 @@
     /** Value of {@code bodyBytes} for a body whose length is not known in advance. */
     public static final long LENGTH_UNKNOWN = -1;
 
+    /** Value of {@code targetLeftMs} for a request whose response has the same value until the deadline. */
+    public static final long NO_TARGET = Long.MAX_VALUE;
+
     /**
      * Checks the components and copies the headers.
      *
--- a/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/FrameReader.java
+++ b/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/FrameReader.java
@@ -114,6 +114,7 @@
                 unpacker.unpackString(),
                 readHeaders(),
                 unpacker.unpackLong(),
+                unpacker.unpackLong(),
                 readCriticality(),
                 unpacker.unpackInt(),
                 unpacker.unpackInt(),
--- a/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/FrameWriter.java
+++ b/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/FrameWriter.java
@@ -77,7 +77,8 @@
         writeBinary(requestIdBytes(header));
         packer.packString(header.service().name()).packString(header.method()).packString(header.path());
         writeHeaders(header.headers());
-        packer.packLong(header.timeLeftMs()).packInt(header.criticality().ordinal());
+        packer.packLong(header.timeLeftMs()).packLong(header.targetLeftMs());
+        packer.packInt(header.criticality().ordinal());
         packer.packInt(header.retryShare()).packInt(header.depth());
         if (header.idempotencyKey() == null) {
             packer.packNil();
--- a/sequoianotch-protocol/src/test/java/org/sequoianotch/protocol/FrameCodecTest.java
+++ b/sequoianotch-protocol/src/test/java/org/sequoianotch/protocol/FrameCodecTest.java
@@ -191,6 +191,7 @@
                         "/" + text,
                         fields,
                         timeLeftMs,
+                        timeLeftMs - count,
                         criticality,
                         count,
                         count,
--- a/sequoianotch-protocol/src/test/java/org/sequoianotch/protocol/link/Peers.java
+++ b/sequoianotch-protocol/src/test/java/org/sequoianotch/protocol/link/Peers.java
@@ -65,6 +65,7 @@
                 path,
                 List.of(),
                 WAIT_MS,
+                CallHeader.NO_TARGET,
                 Criticality.CRITICAL,
                 2,
                 0,
