Do not take a second copy of a refusal for the next response

Report of another operator: an instance writes an earlier refusal once more on a kept connection. It could happen here, in two ways: a refusal without an id counted for whatever request was on the connection, and a request that was sent again over the connection that had refused it has the same id.

Callers would have seen 503 for a payment that ran, or it would have run twice.

Change: a connection remembers the requests that were refused on it. Such a request is not sent over it again, and after the first refusal a further one counts only if it names its request; otherwise the outcome is unknown.

Evidence: secondCopyOfARefusalIsNotTakenForTheNextResponse (row without id) and refusedRequestIsSentAgainOverAnotherConnection failed before and pass.

--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/BackendResponseInfo.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/BackendResponseInfo.java
@@ -6,11 +6,13 @@
  * <p>This type is immutable.
  *
  * @param belongsToCall false if it responds to an earlier request on the same connection
+ * @param namesCall true if it names the call, which a response to an earlier request cannot do
  * @param notExecuted true if the backend server states that it did not execute the request
  * @param invalid true if the backend server cannot have produced the head, so that the response must not be forwarded
  * @param maxIdleMs how long the connection may stay idle, in milliseconds; zero if the response does not say
  */
-public record BackendResponseInfo(boolean belongsToCall, boolean notExecuted, boolean invalid, long maxIdleMs) {
+public record BackendResponseInfo(
+        boolean belongsToCall, boolean namesCall, boolean notExecuted, boolean invalid, long maxIdleMs) {
     /** An ordinary response to the call, without further statements. */
-    public static final BackendResponseInfo PLAIN = new BackendResponseInfo(true, false, false, 0);
+    public static final BackendResponseInfo PLAIN = new BackendResponseInfo(true, false, false, false, 0);
 }
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/InstanceServer.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/InstanceServer.java
@@ -230,6 +230,10 @@
                 return connected;
             }
             BackendConnection connection = connected.get();
+            if (connection.hasRefused(context.requestId())) {
+                connection.close();
+                continue;
+            }
             boolean started = connection.start(
                     header.method(),
                     header.path(),
@@ -307,7 +311,13 @@
                 }
                 return forwardResponse(call, context, instance, connection, head.get());
             }
+            if (info.belongsToCall() && !info.namesCall() && connection.hasRefusedAny()) {
+                String detail = "The instance sent a refusal that names no request, and that may be a copy of an"
+                        + " earlier one on the same connection.";
+                return Either.left(Failure.of(ErrorKind.BACKEND_CUT_ANSWER, detail));
+            }
             if (info.belongsToCall()) {
+                connection.recordRefusal(context.requestId());
                 if (!discardBody(connection, Math.min(MAX_DISCARD_MS, remainingMs(context)))) {
                     connection.close();
                 }
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/BackendConnection.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/BackendConnection.java
@@ -17,12 +17,15 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import io.vavr.control.Either;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.sequoianotch.error.ErrorKind;
 import org.sequoianotch.error.Failure;
+import org.sequoianotch.model.RequestId;
 import org.sequoianotch.protocol.HeaderField;
 import org.sequoianotch.protocol.ResponseHeader;
 
@@ -33,6 +36,8 @@
  */
 public final class BackendConnection {
     private static final Logger LOG = LogManager.getLogger(BackendConnection.class);
+    /** Bounds the memory of a connection; a new one after so many refusals costs little. */
+    private static final int MAX_REFUSED_REQUESTS = 16;
 
     private final BackendClient client;
     private final Channel channel;
@@ -43,6 +48,8 @@
     private boolean requestComplete;
     private boolean headRequest;
     private boolean reused;
+    /** The requests that the backend server refused on this connection; it may send a refusal a second time. */
+    private final Set<RequestId> refusedRequests = new HashSet<>();
     /** Whether the connection is in the pool, so that no response can be due on it. */
     private volatile boolean idle;
 
@@ -102,6 +109,36 @@
         return reused;
     }
 
+    /**
+     * Records that the backend server refused a request on this connection.
+     *
+     * @param requestId the request; not null
+     */
+    public void recordRefusal(RequestId requestId) {
+        refusedRequests.add(requestId);
+        reusable &= refusedRequests.size() < MAX_REFUSED_REQUESTS;
+    }
+
+    /**
+     * Returns whether the backend server refused a request on this connection. A copy of that refusal could not be told
+     * from the response, if the request was sent over the connection again.
+     *
+     * @param requestId the request; not null
+     * @return true if the request must not be sent over this connection
+     */
+    public boolean hasRefused(RequestId requestId) {
+        return refusedRequests.contains(requestId);
+    }
+
+    /**
+     * Returns whether the backend server refused any request on this connection.
+     *
+     * @return true if a refusal that names no request may be a copy of an earlier one
+     */
+    public boolean hasRefusedAny() {
+        return !refusedRequests.isEmpty();
+    }
+
     /** Marks the connection as pooled; returns false if it has received bytes that belong to no request. */
     boolean startIdle(double nowMs) {
         idleSinceMs = nowMs;
