Refuse requests that a node being stopped cannot finish

Report of another operator: in a planned stop in calm, requests that came late in the grace time were taken, passed on, and cut at its end with no response. It could happen here: a request that arrived while the listener stopped was sent whatever its time limit, and open requests ended with their connection.

Change: once the callers had their time to leave, a request whose time limit is later than the end of the node is refused with 503 before it is sent; the calls of the instance are not.

The stop of a whole process under load was not tested.

--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/RouteHandler.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/RouteHandler.java
@@ -4,6 +4,8 @@
 import io.netty.util.Timer;
 import io.vavr.control.Either;
 import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
@@ -34,6 +36,9 @@
     private final Clock clock;
     private final Timer timer;
     private final RandomGenerator random;
+    private final Set<RequestContext> openRequests = ConcurrentHashMap.newKeySet();
+    /** Time on the monotonic clock at which this node stops to serve requests; infinite until it is being stopped. */
+    private volatile double stopsAtMs = Double.POSITIVE_INFINITY;
 
     RouteHandler(
             Supplier<RouteTable> tables,
@@ -56,6 +61,16 @@
         this.random = random;
     }
 
+    /** Refuses from now on the requests of callers whose time limit is later than the end of this node. */
+    void stopAt(double newStopsAtMs) {
+        stopsAtMs = newStopsAtMs;
+    }
+
+    /** Ends the open requests with a failure, so that their callers get a response. */
+    void cancelOpenRequests(Failure failure) {
+        openRequests.forEach(context -> context.cancel(failure));
+    }
+
     @Override
     public void handle(HttpExchange exchange) throws InterruptedException {
         RouteTable table = tables.get();
@@ -104,6 +119,16 @@
             throws InterruptedException {
         double startedAtMs = clock.monotonicMs();
         long timeoutMs = Math.min(info.timeLeftMs(), route.timeoutMs());
+        if (info.parent().isEmpty() && startedAtMs + timeoutMs > stopsAtMs) {
+            // The calls of the instance belong to requests that end within their own time limit.
+            refuseEarly(
+                    exchange,
+                    info,
+                    Failure.of(
+                            ErrorKind.DRAINING,
+                            "The node is being stopped before the time limit of " + timeoutMs + " ms."));
+            return;
+        }
         OutboundCall outbound = limits.outbound(exchange, table, info, route, route.chooseTarget(random));
         RequestContext context =
                 newContext(outbound, info, startedAtMs + timeoutMs, startedAtMs + route.targetLatencyMs());
@@ -113,7 +138,13 @@
                 timeoutMs,
                 TimeUnit.MILLISECONDS);
         exchange.onClose(() -> context.cancel(Failure.of(ErrorKind.CALLER_GONE, "The caller closed its connection.")));
-        RunResult result = runner.runGuarded(exchange, outbound, context);
+        openRequests.add(context);
+        RunResult result;
+        try {
+            result = runner.runGuarded(exchange, outbound, context);
+        } finally {
+            openRequests.remove(context);
+        }
         deadline.cancel();
         context.detach();
         recorder.recordEnd(new RequestSummary(
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/RoutedCallPath.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/RoutedCallPath.java
@@ -7,6 +7,8 @@
 import org.sequoianotch.daemon.explain.RequestRecorder;
 import org.sequoianotch.daemon.http.HttpHandler;
 import org.sequoianotch.daemon.ledger.NoLedger;
+import org.sequoianotch.error.ErrorKind;
+import org.sequoianotch.error.Failure;
 import org.sequoianotch.protocol.link.CallHandler;
 import org.sequoianotch.protocol.link.PeerNetwork;
 import org.sequoianotch.route.RouteTable;
@@ -90,6 +92,22 @@
         return server;
     }
 
+    /**
+     * Refuses from now on the requests of callers that may take longer than this node runs. A request that was taken and
+     * cannot be finished would end without a response.
+     *
+     * @param stopsAtMs end of this node on the monotonic clock, in milliseconds
+     */
+    public void stopAt(double stopsAtMs) {
+        callerHandler.stopAt(stopsAtMs);
+    }
+
+    /** Responds to the requests of callers that are still open, whose outcome is unknown. */
+    public void endOpenRequests() {
+        callerHandler.cancelOpenRequests(Failure.of(
+                ErrorKind.DEADLINE_IN_DOUBT, "The node is being stopped, and its time for open requests is over."));
+    }
+
     /**
      * Returns the number of requests that have a call open at the instance on this host.
      *
