Give sub-calls no target of their own

Suspected cause: a sub-call of a request that can no longer meet its target waited behind others until it timed out, and its whole request failed after other services had worked for it. No trace of such a request was taken.

Change: only the calls of entry nodes have a target. The last assertion of callOfAnInstanceInheritsFromTheRequestThatItServes failed before for sub-calls.

--- a/sequoianotch-control/src/main/java/org/sequoianotch/control/group/MemberChangePolicy.java
+++ b/sequoianotch-control/src/main/java/org/sequoianotch/control/group/MemberChangePolicy.java
@@ -22,7 +22,8 @@
  * </ul>
  *
  * <p>In a group of {@code 2f + 1} voters or more, a removal never leaves fewer than {@code 2f}, so that each
- * acknowledged change is stored on more than {@code f} hosts. A voter that was removed while it was suspended or cut off may ask for admission like a new member.
+ * acknowledged change is stored on more than {@code f} hosts. A voter that was removed while it was suspended or cut
+ * off may ask for admission like a new member.
  *
  * <p>This type is immutable.
  *
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/RequestContext.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/RequestContext.java
@@ -84,16 +84,17 @@
     }
 
     /**
-     * Creates the context of a sub-call that is a request of its own. It has the criticality and the target of this
-     * context, because its response is of use only for this request, and is cancelled with it until {@link #detach} is called.
+     * Creates the context of a sub-call that is a request of its own. It has the criticality of this context but no
+     * target: its request has already cost work, which is lost if the sub-call waits behind others. It is cancelled
+     * with this context until {@link #detach} is called.
      *
      * @param ownId id of the new request; not null
      * @param ownDeadlineAtMs deadline of the new request on the monotonic clock, in milliseconds
      * @param ownAllowance retries that the new request may use; not null
      */
     RequestContext newSubRequest(RequestId ownId, double ownDeadlineAtMs, RetryAllowance ownAllowance) {
-        RequestContext context =
-                new RequestContext(ownId, criticality, depth, ownDeadlineAtMs, targetAtMs, ownAllowance, this);
+        RequestContext context = new RequestContext(
+                ownId, criticality, depth, ownDeadlineAtMs, Double.POSITIVE_INFINITY, ownAllowance, this);
         onCancel(context.cancelWithParent);
         return context;
     }
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/RoutedCallPath.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/RoutedCallPath.java
@@ -93,8 +93,8 @@
     }
 
     /**
-     * Refuses from now on the requests of callers that may take longer than this node runs. A request that was taken and
-     * cannot be finished would end without a response.
+     * Refuses from now on the requests of callers that may take longer than this node runs. A request that was taken
+     * and cannot be finished would end without a response.
      *
      * @param stopsAtMs end of this node on the monotonic clock, in milliseconds
      */
