Keep the detector of a peer's close beside its channel

A connection to an instance that ended while it was being opened failed with a NullPointerException, which ended the call as an internal error (unknown) instead of one that was not sent.

Cause: Netty empties the pipeline of a closed channel, where the detector was looked up.

Change: the detector is an attribute of the channel. The test is repeated 50 times: 11 of 50 failed before, none now.

--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/BackendClient.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/BackendClient.java
@@ -9,9 +9,11 @@
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.util.AttributeKey;
 import io.vavr.control.Either;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
+import java.util.Objects;
 import org.jspecify.annotations.Nullable;
 import org.sequoianotch.error.ErrorKind;
 import org.sequoianotch.error.Failure;
@@ -29,6 +31,9 @@
     /** A connection that was idle for longer is not reused, because the backend server may be about to close it. */
     static final double DEFAULT_MAX_IDLE_MS = 1_000;
 
+    private static final AttributeKey<PeerCloseDetector> PEER_CLOSE =
+            AttributeKey.valueOf(BackendClient.class, "PEER_CLOSE");
+
     private static final int WRITE_HIGH_WATER_BYTES = 65_536;
     private static final int WRITE_LOW_WATER_BYTES = 16_384;
 
@@ -79,7 +84,9 @@
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
-                        channel.pipeline().addLast(new PeerCloseDetector(), new HttpClientCodec());
+                        PeerCloseDetector peerClose = new PeerCloseDetector();
+                        channel.attr(PEER_CLOSE).set(peerClose);
+                        channel.pipeline().addLast(peerClose, new HttpClientCodec());
                     }
                 });
     }
@@ -107,7 +114,9 @@
         InboundQueue queue = new InboundQueue(channel);
         ChannelWriter writer = new ChannelWriter(channel);
         BackendConnection connection = new BackendConnection(this, channel, queue, writer, acceptsCloseDelimitedBody);
-        PeerCloseDetector peerClose = channel.pipeline().get(PeerCloseDetector.class);
+        // Kept as an attribute, because Netty empties the pipeline of a channel that is already closed.
+        PeerCloseDetector peerClose =
+                Objects.requireNonNull(channel.attr(PEER_CLOSE).get(), "PEER_CLOSE");
         channel.pipeline()
                 .addFirst(connection.idleGuard())
                 .addLast(new HttpPartDecoder(queue, writer, () -> removeFromPool(connection), peerClose::isCut));
--- a/sequoianotch-daemon/src/test/java/org/sequoianotch/daemon/http/BackendClientTest.java
+++ b/sequoianotch-daemon/src/test/java/org/sequoianotch/daemon/http/BackendClientTest.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.RepeatedTest;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -148,8 +149,11 @@
         assertThat(connection.readResponseBody(TIMEOUT_MS).getLeft().kind()).isEqualTo(ErrorKind.BACKEND_CUT_ANSWER);
     }
 
-    /** The end of the connection must be noticed also if it arrives before the first request is sent. */
-    @Test
+    /**
+     * The end of the connection must be noticed also if it arrives before the first request is sent. Repeated, because
+     * the channel may be closed before or after its handlers are added.
+     */
+    @RepeatedTest(50)
     void connectionThatEndsBeforeItsFirstRequestIsClosed() throws Exception {
         Thread.ofVirtual().start(() -> {
             try {
