--- a/sequoianotch-control/src/main/java/org/sequoianotch/control/group/RaftMember.java
+++ b/sequoianotch-control/src/main/java/org/sequoianotch/control/group/RaftMember.java
@@ -443,12 +443,17 @@
             peers.removeSilentLearners(nowMs, policy.removeAfterMs());
         }
         Optional<MemberChangePolicy.Change> change = policy.nextChange(peers.voters(nowMs), peers.learners());
-        change.ifPresent(next -> changeMembers(
-                next.isAddition() ? next.member() : null,
-                next.isAddition() ? "" : next.member().id()));
+        change.ifPresent(this::propose);
         return change;
     }
 
+    private void propose(MemberChangePolicy.Change change) {
+        Member member = change.member();
+        changeMembers(change.isAddition() ? member : null, change.isAddition() ? "" : member.id())
+                .thenAccept(result -> result.peek(
+                        done -> LOGGER.info("[control] {} {}.", change.isAddition() ? "Admitted" : "Removed", member)));
+    }
+
     /**
      * Records that another member stops in an orderly way and has withdrawn from the group. If it was the leader, an
      * election is held at once instead of after the election timeout.
