--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/HttpExchange.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/HttpExchange.java
@@ -83,6 +83,15 @@
         return HeaderFields.first(head.headers(), name);
     }
 
+    /**
+     * Returns the address of the caller, for log lines.
+     *
+     * @return address and port, never null
+     */
+    public String callerAddress() {
+        return String.valueOf(connection.channel().remoteAddress());
+    }
+
     /**
      * Returns the length of the body.
      *
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/ServerConnection.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/ServerConnection.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandler;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.socket.DuplexChannel;
 import java.util.ArrayList;
 import java.util.List;
@@ -133,12 +134,24 @@
     private void closeAfterLinger() throws InterruptedException {
         lingering = true;
         if (channel instanceof DuplexChannel duplex && channel.isActive()) {
+            channel.eventLoop().execute(this::logUnsentBytes);
             duplex.shutdownOutput().addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
             discardInput();
         }
         channel.close();
     }
 
+    private void logUnsentBytes() {
+        ChannelOutboundBuffer unsent = channel.unsafe().outboundBuffer();
+        if (unsent != null && unsent.totalPendingWriteBytes() > 0) {
+            LOG.warn(
+                    "[http] The connection with {} on the {} listener ends with {} bytes unsent.",
+                    channel.remoteAddress(),
+                    options.name(),
+                    unsent.totalPendingWriteBytes());
+        }
+    }
+
     private void discardInput() throws InterruptedException {
         long endNs = System.nanoTime() + LINGER_MS * 1_000_000;
         long discardedBytes = 0;
