Send a whole response before its connection is shut down

Callers saw a response with a Content-Length and a part of its body, or none of it, when the response did not fit into the send buffer of the socket and the connection ended behind it.

Cause: the shutdown and the close of a Netty channel discard the messages that are not yet passed to the socket, and the task of a connection did either as soon as it had handed its response over. A response that fits into the socket is sent by the kernel, so that small ones always arrived.

Change: the task waits until everything is flushed, as long as a write may take. This covers all ends of a connection behind a response: asked for by the caller, an unread request body, the idle timeout and the stop of the listener; the stop of the listener waits for it within its own timeout.

--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/ChannelWriter.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/ChannelWriter.java
@@ -1,10 +1,12 @@
 package org.sequoianotch.daemon.http;
 
 import io.netty.buffer.ByteBufHolder;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.util.ReferenceCountUtil;
 import java.util.function.BooleanSupplier;
 import org.sequoianotch.protocol.link.WriteBatch;
+import org.sequoianotch.task.Promise;
 import org.sequoianotch.task.Signal;
 
 /** Writes to a channel from the task that serves the connection. The task waits while the channel's buffer is full. */
@@ -42,6 +44,15 @@
         return writable.await(isWritableOrClosed, timeoutMs) && channel.isActive();
     }
 
+    /** Waits until everything written so far was passed to the socket. Returns false if it was not, in time. */
+    boolean awaitFlush(long timeoutMs) throws InterruptedException {
+        Promise<Boolean> flushed = new Promise<>();
+        // Runs after the batch has passed its messages to the channel.
+        channel.eventLoop().execute(() -> channel.writeAndFlush(Unpooled.EMPTY_BUFFER)
+                .addListener(future -> flushed.set(future.isSuccess())));
+        return flushed.await(timeoutMs).orElse(false);
+    }
+
     private boolean isWritableOrClosed() {
         return hasCapacity() || !channel.isActive();
     }
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/HttpExchange.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/HttpExchange.java
@@ -28,7 +28,7 @@
     static final HttpPart.RequestHead MALFORMED_HEAD =
             new HttpPart.RequestHead("GET", "/", List.of(), false, false, true, -1);
 
-    private static final long WRITE_TIMEOUT_MS = 30_000;
+    static final long WRITE_TIMEOUT_MS = 30_000;
 
     private final ServerConnection connection;
     private final HttpPart.RequestHead head;
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/ServerConnection.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/ServerConnection.java
@@ -5,7 +5,6 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandler;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.socket.DuplexChannel;
 import java.util.ArrayList;
 import java.util.List;
@@ -80,6 +79,9 @@
             while (open) {
                 open = serveOne();
             }
+            if (!lingering) {
+                awaitFlush();
+            }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         } catch (RuntimeException e) {
@@ -132,23 +134,24 @@
     }
 
     private void closeAfterLinger() throws InterruptedException {
+        awaitFlush();
         lingering = true;
         if (channel instanceof DuplexChannel duplex && channel.isActive()) {
-            channel.eventLoop().execute(this::logUnsentBytes);
             duplex.shutdownOutput().addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
             discardInput();
         }
         channel.close();
     }
 
-    private void logUnsentBytes() {
-        ChannelOutboundBuffer unsent = channel.unsafe().outboundBuffer();
-        if (unsent != null && unsent.totalPendingWriteBytes() > 0) {
+    /** Waits until the responses are sent, because a shutdown or close of the channel discards what is not. */
+    private void awaitFlush() throws InterruptedException {
+        if (channel.isActive() && !writer.awaitFlush(HttpExchange.WRITE_TIMEOUT_MS) && channel.isActive()) {
             LOG.warn(
-                    "[http] The connection with {} on the {} listener ends with {} bytes unsent.",
+                    "[http] The caller {} on the {} listener did not read its whole response within {} ms;"
+                            + " closing the connection.",
                     channel.remoteAddress(),
                     options.name(),
-                    unsent.totalPendingWriteBytes());
+                    HttpExchange.WRITE_TIMEOUT_MS);
         }
     }
 
--- a/sequoianotch-daemon/src/test/java/org/sequoianotch/daemon/http/HttpListenerTest.java
+++ b/sequoianotch-daemon/src/test/java/org/sequoianotch/daemon/http/HttpListenerTest.java
@@ -19,6 +19,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.sequoianotch.error.Failure;
 
 /** Guards against invalid input that crashes the listener, gets no response or is accepted as a complete request. */
@@ -26,6 +27,8 @@
 final class HttpListenerTest {
     private static final int MAX_HEADER_BYTES = 2_048;
     private static final long IDLE_TIMEOUT_MS = 500;
+    /** Larger than the send buffer of a socket may grow. */
+    private static final int LARGE_BODY_BYTES = 8 * 1024 * 1024;
 
     private final EventLoopGroup eventLoops = new NioEventLoopGroup(1);
     private final CountDownLatch callerGone = new CountDownLatch(1);
@@ -196,6 +199,54 @@
         assertThat(send("GET /a HTTP/1.1\r\n\r\n").toLowerCase(Locale.ROOT)).contains("connection: close");
     }
 
+    /**
+     * A response that does not fit into the send buffer of the socket was cut when the connection ended: the shutdown
+     * discarded what the channel had not sent yet, so that large configurations could not be read.
+     */
+    @ParameterizedTest
+    @EnumSource(ConnectionEnd.class)
+    void slowCallerGetsAWholeLargeResponse(ConnectionEnd end) throws Exception {
+        byte[] body = new byte[LARGE_BODY_BYTES];
+        CountDownLatch answered = new CountDownLatch(1);
+        bind(exchange -> {
+            exchange.respond(new BufferedResponse(200, List.of(), body));
+            answered.countDown();
+        });
+        try (Socket socket = connectWithSmallReceiveBuffer()) {
+            socket.getOutputStream().write(end.request.getBytes(StandardCharsets.US_ASCII));
+            answered.await();
+            Thread stop = Thread.ofVirtual().start(end.stopsListener ? this::stopListener : () -> {});
+            Thread.sleep(2 * IDLE_TIMEOUT_MS);
+
+            byte[] received = socket.getInputStream().readAllBytes();
+            assertThat(received.length).isAtLeast(LARGE_BODY_BYTES);
+            stop.join();
+        }
+    }
+
+    /** Why a connection ends behind a response. */
+    private enum ConnectionEnd {
+        REQUESTED_BY_CALLER("GET /a HTTP/1.1\r\nConnection: close\r\n\r\n", false),
+        UNREAD_BODY("POST /a HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc", false),
+        IDLE("GET /a HTTP/1.1\r\n\r\n", false),
+        STOP("GET /a HTTP/1.1\r\n\r\n", true);
+
+        private final String request;
+        private final boolean stopsListener;
+
+        ConnectionEnd(String request, boolean stopsListener) {
+            this.request = request;
+            this.stopsListener = stopsListener;
+        }
+    }
+
+    private Socket connectWithSmallReceiveBuffer() throws IOException {
+        Socket socket = new Socket();
+        socket.setReceiveBufferSize(4_096);
+        socket.connect(listener.address());
+        return socket;
+    }
+
     private void stopListener() {
         try {
             listener.stop(10_000);
