Keep the log of a control host whose last write was torn by a power loss

Operators would see a control host that comes back after a power loss as a new member without data. With two lost disks beside it, three of six voters are left, and no control host has a leader again.

Cause: a record that was damaged in any other way than by a missing end was taken for corruption, and the data folder was discarded. A write that was not synced may be kept in any part, though: a hole or a missing start is no reason to give up the records before it. A group of entries was several records, so that intact ones could follow a torn one.

Change: all entries of an append are one record, which is synced before the next one. A sync mark behind the last record, written after its sync and replaced by the next record, tells a synced record from one that was not. A damaged record is dropped if no intact record or mark follows it, and is corruption otherwise. The log format of before is read; its records have one entry each.

--- a/sequoianotch-control/src/main/java/org/sequoianotch/control/codec/Decoder.java
+++ b/sequoianotch-control/src/main/java/org/sequoianotch/control/codec/Decoder.java
@@ -39,6 +39,15 @@
         }
     }
 
+    /**
+     * Returns whether the message has further values.
+     *
+     * @return false at the end of the message
+     */
+    public boolean hasNext() {
+        return read(unpacker::hasNext);
+    }
+
     /**
      * Reads an integer.
      *
--- a/sequoianotch-control/src/main/java/org/sequoianotch/control/log/DiskFolder.java
+++ b/sequoianotch-control/src/main/java/org/sequoianotch/control/log/DiskFolder.java
@@ -93,23 +93,26 @@
     }
 
     @Override
-    public void append(String name, byte[] content) {
+    public void append(String name, long offset, byte[] content, byte[] mark) {
         try {
             RandomAccessFile file = openFile(name);
-            file.seek(file.length());
+            file.seek(offset);
             file.write(content);
             file.getFD().sync();
+            file.write(mark);
         } catch (IOException e) {
             throw new StorageException("the file " + folder.resolve(name) + " cannot be appended to: " + e, e);
         }
     }
 
     @Override
-    public void truncate(String name, long lengthBytes) {
+    public void truncate(String name, long lengthBytes, byte[] mark) {
         try {
             RandomAccessFile file = openFile(name);
             file.setLength(lengthBytes);
             file.getFD().sync();
+            file.seek(lengthBytes);
+            file.write(mark);
         } catch (IOException e) {
             throw new StorageException("the file " + folder.resolve(name) + " cannot be truncated: " + e, e);
         }
--- a/sequoianotch-control/src/main/java/org/sequoianotch/control/log/MemberStore.java
+++ b/sequoianotch-control/src/main/java/org/sequoianotch/control/log/MemberStore.java
@@ -2,6 +2,7 @@
 
 import java.io.ByteArrayOutputStream;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Optional;
 import org.apache.logging.log4j.LogManager;
@@ -84,15 +85,17 @@
     private void readLog() {
         byte[] content = folder.read(LOG_FILE).orElse(new byte[0]);
         RecordFrame.Scan scan = RecordFrame.scan(path(LOG_FILE), content);
-        if (scan.completeBytes() < content.length) {
+        long unsyncedBytes = content.length - scan.completeBytes();
+        if (unsyncedBytes > 0 && !RecordFrame.isSyncMark(content, (int) scan.completeBytes())) {
             LOGGER.warn(
-                    "[control] The file {} ends with an incomplete record at offset {}; removing the record.",
+                    "[control] The file {} ends with {} bytes at offset {} that were not synced; removing them.",
                     path(LOG_FILE),
+                    unsyncedBytes,
                     scan.completeBytes());
         }
         if (content.length > 0) {
             // Records of a process that was killed before its sync are readable but not durable; truncate also syncs.
-            folder.truncate(LOG_FILE, scan.completeBytes());
+            folder.truncate(LOG_FILE, scan.completeBytes(), RecordFrame.syncMark(scan.completeBytes()));
         }
         logBytes = scan.completeBytes();
         if (content.length == 0) {
@@ -103,18 +106,28 @@
         for (int i = 1; i < scan.payloads().size(); i++) {
             long offset = scan.offsets().get(i);
             byte[] payload = scan.payloads().get(i);
-            LogEntry entry = decode(LOG_FILE, offset, () -> LogEntry.decode(new Decoder(payload)));
-            if (entry.index() != expectedIndex) {
-                throw StorageException.corrupt("the file " + path(LOG_FILE) + " is corrupt at offset " + offset
-                        + ": found entry " + entry.index() + ", expected entry " + expectedIndex);
+            for (LogEntry entry : decode(LOG_FILE, offset, () -> entries(payload))) {
+                if (entry.index() != expectedIndex) {
+                    throw StorageException.corrupt("the file " + path(LOG_FILE) + " is corrupt at offset " + offset
+                            + ": found entry " + entry.index() + ", expected entry " + expectedIndex);
+                }
+                expectedIndex = entry.index() + 1;
+                entries.add(entry);
+                offsets.add(offset);
             }
-            expectedIndex = entry.index() + 1;
-            entries.add(entry);
-            offsets.add(offset);
         }
         dropEntriesInSnapshot(baseIndex);
     }
 
+    private static List<LogEntry> entries(byte[] payload) {
+        Decoder decoder = new Decoder(payload);
+        List<LogEntry> decoded = new ArrayList<>();
+        while (decoder.hasNext()) {
+            decoded.add(LogEntry.decode(decoder));
+        }
+        return decoded;
+    }
+
     /** Returns the index of the entry before the first one in the log; the snapshot must include that entry. */
     private long readBaseIndex(RecordFrame.Scan scan) {
         if (scan.payloads().isEmpty()) {
@@ -253,7 +266,7 @@
     }
 
     /**
-     * Appends entries with a single sync.
+     * Appends entries as one record, with a single sync.
      *
      * @param added entries with consecutive indexes that start after {@link #lastIndex}; not null
      */
@@ -261,8 +274,6 @@
         if (added.isEmpty()) {
             return;
         }
-        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-        List<Long> addedOffsets = new ArrayList<>();
         long expectedIndex = lastIndex() + 1;
         for (LogEntry entry : added) {
             if (entry.index() != expectedIndex) {
@@ -270,13 +281,13 @@
                         "entry " + entry.index() + " cannot be appended: expected entry " + expectedIndex);
             }
             expectedIndex++;
-            addedOffsets.add(logBytes + bytes.size());
-            bytes.writeBytes(frame(entry));
         }
-        folder.append(LOG_FILE, bytes.toByteArray());
+        byte[] bytes = frame(added);
+        long endOffset = logBytes + bytes.length;
+        folder.append(LOG_FILE, logBytes, bytes, RecordFrame.syncMark(endOffset));
         entries.addAll(added);
-        offsets.addAll(addedOffsets);
-        logBytes += bytes.size();
+        offsets.addAll(Collections.nCopies(added.size(), logBytes));
+        logBytes = endOffset;
     }
 
     /**
@@ -287,10 +298,17 @@
     public void truncateFrom(long index) {
         int position = (int) (index - snapshot.lastIndex() - 1);
         long offset = offsets.get(position);
-        folder.truncate(LOG_FILE, offset);
-        logBytes = offset;
+        boolean startsRecord = position == 0 || offsets.get(position - 1) < offset;
+        if (startsRecord) {
+            folder.truncate(LOG_FILE, offset, RecordFrame.syncMark(offset));
+            logBytes = offset;
+        }
         entries.subList(position, entries.size()).clear();
         offsets.subList(position, offsets.size()).clear();
+        if (!startsRecord) {
+            // The entries before it in the same record may have been acknowledged, so the file is replaced as a whole.
+            rewriteLog();
+        }
     }
 
     /**
@@ -319,15 +337,16 @@
         offsets.clear();
         for (LogEntry entry : entries) {
             offsets.add((long) bytes.size());
-            bytes.writeBytes(frame(entry));
+            bytes.writeBytes(frame(List.of(entry)));
         }
-        folder.replace(LOG_FILE, bytes.toByteArray());
         logBytes = bytes.size();
+        bytes.writeBytes(RecordFrame.syncMark(logBytes));
+        folder.replace(LOG_FILE, bytes.toByteArray());
     }
 
-    private static byte[] frame(LogEntry entry) {
+    private static byte[] frame(List<LogEntry> record) {
         Encoder encoder = new Encoder();
-        entry.encode(encoder);
+        record.forEach(entry -> entry.encode(encoder));
         return RecordFrame.frame(encoder.toBytes());
     }
 
--- a/sequoianotch-control/src/main/java/org/sequoianotch/control/log/OffloadedFolder.java
+++ b/sequoianotch-control/src/main/java/org/sequoianotch/control/log/OffloadedFolder.java
@@ -32,13 +32,13 @@
     }
 
     @Override
-    public void append(String name, byte[] content) {
-        run(() -> folder.append(name, content));
+    public void append(String name, long offset, byte[] content, byte[] mark) {
+        run(() -> folder.append(name, offset, content, mark));
     }
 
     @Override
-    public void truncate(String name, long lengthBytes) {
-        run(() -> folder.truncate(name, lengthBytes));
+    public void truncate(String name, long lengthBytes, byte[] mark) {
+        run(() -> folder.truncate(name, lengthBytes, mark));
     }
 
     @Override
--- a/sequoianotch-control/src/main/java/org/sequoianotch/control/log/RecordFrame.java
+++ b/sequoianotch-control/src/main/java/org/sequoianotch/control/log/RecordFrame.java
@@ -5,20 +5,28 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.zip.CRC32C;
+import org.sequoianotch.control.codec.Encoder;
 
 /**
  * Framing of records in files.
  *
  * <p>A record consists of the length of the payload (4 bytes), the CRC-32C of the length (4 bytes), the CRC-32C of the
- * payload (4 bytes), the payload, and an end mark that is not zero. A record is incomplete if it extends beyond the end
- * of the file, or if its remaining bytes are zeros, because a file may grow before its data is written. Any other
- * mismatch is corruption; the checksum of the length distinguishes a corrupt length from a truncated record.
+ * payload (4 bytes), the payload, and an end mark that is not zero.
+ *
+ * <p>Each record is written and synced before the next one. A power loss can therefore damage the last record only, but
+ * in any way: a write that was not synced may be kept in part, and not only its start. A sync mark, which is written
+ * behind the last record after its sync and replaced by the next record, tells a last record that was synced from one
+ * that was not. So a damaged record is incomplete if no intact record or sync mark follows it, and corrupt otherwise.
  */
 final class RecordFrame {
     static final int HEADER_BYTES = 12;
     private static final byte END_MARK = 0x5A;
+    private static final String SYNC_MARK = "synced";
 
-    /** Payloads and offsets of the complete records in a file, and the size of these records in bytes. */
+    /**
+     * Payloads and offsets of the complete records in a file without the sync mark, and the size of these records in
+     * bytes.
+     */
     record Scan(List<byte[]> payloads, List<Long> offsets, long completeBytes) {}
 
     private RecordFrame() {}
@@ -46,13 +54,28 @@
         return scan.payloads().get(0);
     }
 
+    /** Returns the mark that is written at the given offset once everything before it is synced. */
+    static byte[] syncMark(long offset) {
+        return frame(new Encoder().text(SYNC_MARK).number(offset).toBytes());
+    }
+
+    static boolean isSyncMark(byte[] content, int offset) {
+        byte[] mark = syncMark(offset);
+        int end = Math.min(content.length, offset + mark.length);
+        return Arrays.equals(content, offset, end, mark, 0, mark.length);
+    }
+
     static Scan scan(String file, byte[] content) {
         List<byte[]> payloads = new ArrayList<>();
         List<Long> offsets = new ArrayList<>();
         int offset = 0;
         while (offset < content.length) {
-            int end = endOfRecord(file, content, offset);
+            int end = endOfRecord(content, offset);
             if (end < 0) {
+                rejectIntactRecordAfter(file, content, offset);
+                break;
+            }
+            if (isSyncMark(content, offset)) {
                 break;
             }
             payloads.add(Arrays.copyOfRange(content, offset + HEADER_BYTES, end - 1));
@@ -62,40 +85,29 @@
         return new Scan(payloads, offsets, offset);
     }
 
-    /** Returns the end of the record at the offset, or -1 if the record is incomplete. */
-    private static int endOfRecord(String file, byte[] content, int offset) {
-        if (content.length - offset < HEADER_BYTES || onlyZeros(content, offset)) {
+    private static void rejectIntactRecordAfter(String file, byte[] content, int damaged) {
+        for (int offset = damaged + 1; offset < content.length; offset++) {
+            if (endOfRecord(content, offset) >= 0) {
+                throw StorageException.corrupt("the file " + file + " is corrupt at offset " + damaged
+                        + ": the record there is damaged, but was synced before that at offset " + offset);
+            }
+        }
+    }
+
+    /** Returns the end of the intact record at the offset, or -1 if there is none. */
+    private static int endOfRecord(byte[] content, int offset) {
+        if (content.length - offset <= HEADER_BYTES) {
             return -1;
         }
         ByteBuffer buffer = ByteBuffer.wrap(content);
         int length = buffer.getInt(offset);
-        if (buffer.getInt(offset + 4) != checksum(content, offset, 4) || length < 0) {
-            if (onlyZeros(content, offset + 8)) {
-                return -1;
-            }
-            throw StorageException.corrupt("the file " + file + " is corrupt at offset " + offset
-                    + ": the checksum of the record length does not match");
-        }
         long end = (long) offset + HEADER_BYTES + length + 1;
-        if (end > content.length || onlyZeros(content, (int) end - 1)) {
-            return -1;
-        }
-        boolean intact = content[(int) end - 1] == END_MARK
+        boolean intact = length >= 0
+                && end <= content.length
+                && buffer.getInt(offset + 4) == checksum(content, offset, 4)
+                && content[(int) end - 1] == END_MARK
                 && buffer.getInt(offset + 8) == checksum(content, offset + HEADER_BYTES, length);
-        if (!intact) {
-            throw StorageException.corrupt("the file " + file + " is corrupt at offset " + offset
-                    + ": the checksum or the end mark of the record does not match");
-        }
-        return (int) end;
-    }
-
-    private static boolean onlyZeros(byte[] content, int from) {
-        for (int i = from; i < content.length; i++) {
-            if (content[i] != 0) {
-                return false;
-            }
-        }
-        return true;
+        return intact ? (int) end : -1;
     }
 
     private static int checksum(byte[] bytes, int offset, int length) {
--- a/sequoianotch-control/src/main/java/org/sequoianotch/control/log/StorageFolder.java
+++ b/sequoianotch-control/src/main/java/org/sequoianotch/control/log/StorageFolder.java
@@ -26,20 +26,25 @@
     void replace(String name, byte[] content);
 
     /**
-     * Appends to an existing file, and syncs it.
+     * Writes to an existing file from an offset on, syncs it, and then writes a mark behind the content without a sync.
+     * After a failure or a power loss the file may have any part of the content and of the mark.
      *
      * @param name name of the file; not null
-     * @param content the bytes to append; not null
+     * @param offset position of the first byte written, at most the length of the file; the bytes after it are those of
+     *     an earlier mark
+     * @param content the bytes to write; not null
+     * @param mark the bytes to write after the sync; not null
      */
-    void append(String name, byte[] content);
+    void append(String name, long offset, byte[] content, byte[] mark);
 
     /**
-     * Truncates an existing file, and syncs it.
+     * Truncates an existing file, syncs it, and then writes a mark at its end without a sync.
      *
      * @param name name of the file; not null
      * @param lengthBytes the new length in bytes, at most the current one
+     * @param mark the bytes to write after the sync; not null
      */
-    void truncate(String name, long lengthBytes);
+    void truncate(String name, long lengthBytes, byte[] mark);
 
     /**
      * Removes a file, and syncs the folder. Does nothing if the file does not exist.
