Simulate final faults of the control group with torn writes

Writes of up to two followers are torn, hosts come back after different delays, connections to a stopped process on a running machine are refused.

--- a/sequoianotch-control/src/test/java/org/sequoianotch/control/group/GroupSimulation.java
+++ b/sequoianotch-control/src/test/java/org/sequoianotch/control/group/GroupSimulation.java
@@ -16,6 +16,7 @@
 import org.sequoianotch.control.codec.Encoder;
 import org.sequoianotch.control.log.MemberStore;
 import org.sequoianotch.control.log.MemoryFolder;
+import org.sequoianotch.control.log.StorageException;
 import org.sequoianotch.control.state.ChangeRequest;
 import org.sequoianotch.control.state.ChangeResult;
 import org.sequoianotch.control.state.TemplateState;
@@ -38,6 +39,12 @@
         boolean up = true;
         /** Whether the process is suspended; what arrives meanwhile is handled afterwards. */
         boolean suspended;
+        /** Whether the machine has power while the process is down, so that connections are refused at once. */
+        boolean refusesConnections;
+
+        boolean retired;
+        /** Number of starts that discarded a data folder as corrupt. */
+        int discardedFolders;
 
         int run;
         private double joinDueAtMs;
@@ -52,8 +59,21 @@
         private RaftMember open() {
             run++;
             state = new TemplateState();
-            String newId = id + "." + run;
-            return new RaftMember(MemberStore.open(folder, newId), state, SETTINGS, clock, random);
+            return new RaftMember(openStore(id + "." + run), state, SETTINGS, clock, random);
+        }
+
+        /** Opens the store like a control host of an open group. */
+        private MemberStore openStore(String newId) {
+            try {
+                return MemberStore.open(folder, newId);
+            } catch (StorageException e) {
+                if (!e.isCorruption()) {
+                    throw e;
+                }
+                discardedFolders++;
+                MemberStore.discard(folder);
+                return MemberStore.open(folder, newId);
+            }
         }
 
         Member member() {
@@ -71,6 +91,11 @@
             up = true;
         }
 
+        /** Makes the next write the one that a power loss interrupts; to be followed by {@link #stop}. */
+        void losePowerDuringNextWrite() {
+            folder.losePower(0, random);
+        }
+
         void startWithEmptyDisk() {
             folder = new MemoryFolder();
             start();
@@ -102,7 +127,7 @@
             Member member = member();
             for (Host other : hosts) {
                 schedule(delayMs(), () -> {
-                    if (other.up && !other.suspended && isDelivered(this, other)) {
+                    if (other != this && other.up && !other.suspended && isDelivered(this, other)) {
                         other.raft.addLearner(member);
                     }
                 });
@@ -159,6 +184,17 @@
         return host;
     }
 
+    /** Removes a host for good. Its messages in flight still arrive. */
+    void retire(Host host) {
+        host.stop();
+        host.retired = true;
+    }
+
+    /** Returns the hosts that were not removed for good. */
+    List<Host> presentHosts() {
+        return hosts.stream().filter(host -> !host.retired).toList();
+    }
+
     /** Cuts or restores the links between a host and all others, in both directions. */
     void isolate(Host host, boolean cut) {
         for (Host other : hosts) {
@@ -212,7 +248,7 @@
         }
     }
 
-    private void schedule(double delayMs, Runnable action) {
+    void schedule(double delayMs, Runnable action) {
         events.add(new Event(clock.monotonicMs() + delayMs, eventNumber++, action));
     }
 
@@ -220,6 +256,10 @@
         RaftMember sender = from.raft;
         Host to = hosts.get(Integer.parseInt(outgoing.peer().address()));
         schedule(SETTINGS.requestTimeoutMs(), () -> sender.onRequestFailed(outgoing));
+        if (!to.up && to.refusesConnections) {
+            schedule(delayMs(), () -> sender.onRequestFailed(outgoing));
+            return;
+        }
         int copies = random.nextDouble() < repeatRate ? 2 : 1;
         for (int i = 0; i < copies; i++) {
             if (isDelivered(from, to)) {
