Refuse a configuration that is too large to replicate

Operators would see an endless 503 for one very large configuration, for every change after it, and for reads once that host leads again.

Cause: an entry larger than a frame between hosts (256 KiB) was appended to the log of the leader, and each request with it failed before it was sent. The entry stayed at the end of the log, and no later entry was committed.

Change: a control host refuses a change of more than 240 KiB compressed as invalid, with both sizes in the detail, before it is proposed or forwarded.

Result: changeThatDoesNotFitIntoAFrameIsRefused failed before at the leader and at a follower (no result of the change within 20 s), and passes now. The test network refuses requests above the size of a frame, as links do.

--- a/sequoianotch-control/src/main/java/org/sequoianotch/control/ControlGroup.java
+++ b/sequoianotch-control/src/main/java/org/sequoianotch/control/ControlGroup.java
@@ -13,6 +13,7 @@
 import org.jspecify.annotations.Nullable;
 import org.sequoianotch.control.codec.Decoder;
 import org.sequoianotch.control.codec.Encoder;
+import org.sequoianotch.control.group.GroupSettings;
 import org.sequoianotch.control.group.GroupStatus;
 import org.sequoianotch.control.group.Member;
 import org.sequoianotch.control.group.RaftMember;
@@ -275,8 +276,29 @@
      * @return the result, or a failure after which the change may or may not be accepted
      */
     public Either<Failure, ChangeResult> apply(ChangeRequest request) {
-        return runAtLeader(() -> applyHere(request), new ControlRequest.Change(false, request))
-                .map(ChangeResult::of);
+        return applyAtLeader(request).map(ChangeResult::of);
+    }
+
+    private Either<Failure, byte[]> applyAtLeader(ChangeRequest request) {
+        Optional<ChangeResult> refusal = refusalForSize(request);
+        return refusal.isPresent()
+                ? Either.right(refusal.get().toBytes())
+                : runAtLeader(() -> applyHere(request), new ControlRequest.Change(false, request));
+    }
+
+    /** Refuses a change that the leader could not send to the other members, and that would block all later changes. */
+    private Optional<ChangeResult> refusalForSize(ChangeRequest request) {
+        // A character has up to three bytes, which compression does not increase.
+        if (request.templateText().length() * 3L < GroupSettings.MAX_ENTRY_BYTES) {
+            return Optional.empty();
+        }
+        int sizeBytes = TemplateState.encodeEntry(request, clock.nowMs()).length;
+        if (sizeBytes <= GroupSettings.MAX_ENTRY_BYTES) {
+            return Optional.empty();
+        }
+        String detail = "The change has " + sizeBytes + " bytes when compressed; the limit is "
+                + GroupSettings.MAX_ENTRY_BYTES + " bytes.";
+        return Optional.of(new ChangeResult.Refused(ControlError.INVALID_TEMPLATE, revision(), detail, List.of()));
     }
 
     private Either<Failure, byte[]> applyHere(ChangeRequest request) {
@@ -446,9 +468,7 @@
             case ControlRequest.Hello r -> Either.right(
                     admission().helloResponse().toBytes());
             case ControlRequest.Join r -> admission().handleJoin(from, r);
-            case ControlRequest.Change r -> r.mayForward()
-                    ? runAtLeader(() -> applyHere(r.request()), new ControlRequest.Change(false, r.request()))
-                    : applyHere(r.request());
+            case ControlRequest.Change r -> r.mayForward() ? applyAtLeader(r.request()) : applyHere(r.request());
             case ControlRequest.Read r -> r.mayForward()
                     ? runAtLeader(this::readHere, new ControlRequest.Read(false))
                     : readHere();
--- a/sequoianotch-control/src/main/java/org/sequoianotch/control/group/GroupSettings.java
+++ b/sequoianotch-control/src/main/java/org/sequoianotch/control/group/GroupSettings.java
@@ -15,6 +15,12 @@
  */
 public record GroupSettings(
         long electionTimeoutMs, long heartbeatMs, long requestTimeoutMs, int snapshotEntries, int batchBytes) {
+    /**
+     * Maximum size of the data of one entry, in bytes. A request with one entry has to fit into a frame of the peer
+     * protocol, which is 256 KiB; the rest is for the names of the group and its members.
+     */
+    public static final int MAX_ENTRY_BYTES = 240 * 1024;
+
     private static final int DEFAULT_SNAPSHOT_ENTRIES = 1_000;
     /** Half of the maximum frame size of the peer protocol, which is 256 KiB. */
     private static final int DEFAULT_BATCH_BYTES = 128 * 1024;
--- a/sequoianotch-control/src/test/java/org/sequoianotch/control/LocalNetwork.java
+++ b/sequoianotch-control/src/test/java/org/sequoianotch/control/LocalNetwork.java
@@ -8,6 +8,7 @@
 import org.sequoianotch.error.ErrorKind;
 import org.sequoianotch.error.Failure;
 import org.sequoianotch.model.HostId;
+import org.sequoianotch.protocol.FrameCodec;
 import org.sequoianotch.protocol.Topic;
 import org.sequoianotch.protocol.link.PeerRequestHandler;
 import org.sequoianotch.protocol.link.PeerRequester;
@@ -43,6 +44,9 @@
             if (handler == null || cut || topic != Topic.CONTROL) {
                 return Either.left(Failure.of(ErrorKind.NO_INSTANCE, address + " is unreachable"));
             }
+            if (payload.length > FrameCodec.MAX_FRAME_BYTES) {
+                return Either.left(Failure.of(ErrorKind.BAD_REQUEST, "The request is too large"));
+            }
             Either<Failure, byte[]> response = handler.handle(HostId.of(from), payload);
             requestCount.incrementAndGet();
             byteCount.addAndGet(
--- a/sequoianotch-control/src/test/java/org/sequoianotch/control/OpenGroupTest.java
+++ b/sequoianotch-control/src/test/java/org/sequoianotch/control/OpenGroupTest.java
@@ -7,15 +7,20 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Random;
 import java.util.SortedMap;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentSkipListMap;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.sequoianotch.control.group.GroupSettings;
+import org.sequoianotch.control.group.Role;
 import org.sequoianotch.control.state.ChangeRequest;
 import org.sequoianotch.control.state.ChangeResult.Accepted;
+import org.sequoianotch.control.state.ChangeResult.Refused;
 import org.sequoianotch.model.HostId;
 import org.sequoianotch.model.OrganisationName;
 import org.sequoianotch.time.SystemClock;
@@ -152,6 +157,28 @@
         assertThat(group("host-2").status().memberId()).isNotEqualTo(before);
     }
 
+    /**
+     * A change that is too large for a frame between hosts could not be replicated. It stayed at the end of the leader's
+     * log, and no later change was committed.
+     */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void changeThatDoesNotFitIntoAFrameIsRefused(boolean atLeader) {
+        List.of("host-0", "host-1", "host-2").forEach(name -> start(name, true));
+        ControlHosts.applyWithRetries(() -> group("host-0").apply(change("c1", 0, 4)));
+        ControlGroup asked = groups.values().stream()
+                .filter(group -> (group.status().role() == Role.LEADER) == atLeader)
+                .findFirst()
+                .orElseThrow();
+        StringBuilder text = new StringBuilder();
+        new Random(1).ints(300_000, 0, 256).forEach(code -> text.append((char) code));
+        ChangeRequest tooLarge = new ChangeRequest("c2", "ana", ORGANISATION, text.toString(), 4, 5);
+
+        assertThat(ControlHosts.applyWithRetries(() -> asked.apply(tooLarge))).isInstanceOf(Refused.class);
+        assertThat(ControlHosts.applyWithRetries(() -> group("host-0").apply(change("c3", 4, 6))))
+                .isEqualTo(new Accepted(6));
+    }
+
     /** Operators may skip revisions, and a resend must be acknowledged again after later changes. */
     @Test
     void resendOfAnAcceptedChangeIsAcknowledgedAfterLaterChanges() {
