Log lost rounds of an election and what a control host starts with

Change: a candidate logs the votes that it got and whose are missing, once until that changes; the line of the start has the term, the last entry and the number of voters instead of a revision that is not known yet. Result: FinalFaultTest, GroupFailureTest, GroupHistoryTest, MemberReplacementTest and ConfirmedReadTest pass as before.

--- a/sequoianotch-control/src/main/java/org/sequoianotch/control/ControlGroup.java
+++ b/sequoianotch-control/src/main/java/org/sequoianotch/control/ControlGroup.java
@@ -133,7 +133,11 @@
                     store, new PublishingStateMachine(state, revisions), options.settings(), clock, new Random());
             PeerTasks tasks = new PeerTasks(raft, requester, options, directory);
             LOGGER.info(
-                    "[control] Started as member {}; the data folder has revision {}.", store.memberId(), revision());
+                    "[control] Started as member {} in term {}; the data folder has entries up to {} and {} voters.",
+                    store.memberId(),
+                    store.term(),
+                    store.lastIndex(),
+                    raft.status().members().members().size());
             return new RunningMember(
                     store, raft, tasks, new MemberAdmission(options, directory, raft, requester, clock));
         } catch (StorageException e) {
--- a/sequoianotch-control/src/main/java/org/sequoianotch/control/group/ElectionState.java
+++ b/sequoianotch-control/src/main/java/org/sequoianotch/control/group/ElectionState.java
@@ -1,6 +1,8 @@
 package org.sequoianotch.control.group;
 
 import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import org.sequoianotch.time.Clock;
@@ -11,6 +13,8 @@
     private final Random random;
     private final long timeoutMs;
     private final Set<String> votes = new HashSet<>();
+    /** Members without a vote in the round that was described last. */
+    private List<String> lastMissing = List.of();
     /** Time of the last request from a leader; votes are refused for one election timeout after it. */
     private double lastLeaderContactMs;
 
@@ -25,6 +29,7 @@
     }
 
     void onLeaderContact() {
+        lastMissing = List.of();
         lastLeaderContactMs = clock.monotonicMs();
         resetTimeout();
     }
@@ -68,6 +73,23 @@
         votes.add(memberId);
     }
 
+    /**
+     * Describes the round for a log line, or returns empty if the same votes were missing when it was last described, so
+     * that a host that is cut off for long does not repeat itself.
+     */
+    Optional<String> describeUnlessRepeated(MemberSet members) {
+        List<String> missing = members.members().stream()
+                .map(Member::id)
+                .filter(id -> !votes.contains(id))
+                .toList();
+        if (missing.equals(lastMissing)) {
+            return Optional.empty();
+        }
+        lastMissing = missing;
+        return Optional.of((members.members().size() - missing.size()) + " of " + members.majority()
+                + " votes that a majority needs; no vote of " + missing);
+    }
+
     boolean isWon(MemberSet members) {
         return votes.size() >= members.majority();
     }
--- a/sequoianotch-control/src/main/java/org/sequoianotch/control/group/RaftMember.java
+++ b/sequoianotch-control/src/main/java/org/sequoianotch/control/group/RaftMember.java
@@ -115,6 +115,7 @@
                     stepDown(term(), "no majority replied within the election timeout");
                 }
             } else if (election.isTimedOut() && isVoter()) {
+                logLostRound();
                 startRound(Role.PRE_CANDIDATE);
             }
             boolean lagging = role == Role.LEADER && peers.hasLaggingPeer();
@@ -123,6 +124,19 @@
         });
     }
 
+    private void logLostRound() {
+        if (role != Role.FOLLOWER) {
+            election.describeUnlessRepeated(replica.members())
+                    .ifPresent(votes -> LOGGER.info(
+                            "[control] Member {} was not elected as {} in term {} with entries up to {}: it got {}.",
+                            ownId,
+                            role,
+                            term(),
+                            replica.store.lastIndex(),
+                            votes));
+        }
+    }
+
     private void startElection() {
         replica.store.saveVote(term() + 1, ownId);
         startRound(Role.CANDIDATE);
