Check heads that break off on the native transport and behind a whole response

Cause: another operator's instance stopped in the middle of its head, and clients got an empty or short body as a whole one. Change: the test of truncated responses also covers the transport of the processes, resets, HTTP/1.0, chunks, a Content-Length before other headers and a reused connection.

--- a/sequoianotch-control/src/main/java/org/sequoianotch/control/group/ElectionState.java
+++ b/sequoianotch-control/src/main/java/org/sequoianotch/control/group/ElectionState.java
@@ -74,7 +74,7 @@
     }
 
     /**
-     * Describes the round for a log line, or returns empty if the same votes were missing when it was last described, so
+     * Describes the round for a log line. Returns empty if the same votes were missing when it was last described, so
      * that a host that is cut off for long does not repeat itself.
      */
     Optional<String> describeUnlessRepeated(MemberSet members) {
--- a/sequoianotch-control/src/test/java/org/sequoianotch/control/OpenGroupTest.java
+++ b/sequoianotch-control/src/test/java/org/sequoianotch/control/OpenGroupTest.java
@@ -158,8 +158,8 @@
     }
 
     /**
-     * A change that is too large for a frame between hosts could not be replicated. It stayed at the end of the leader's
-     * log, and no later change was committed.
+     * A change that is too large for a frame between hosts could not be replicated. It stayed at the end of the log of
+     * the leader, and no later change was committed.
      */
     @ParameterizedTest
     @ValueSource(booleans = {true, false})
--- a/sequoianotch-daemon/src/test/java/org/sequoianotch/daemon/http/BackendClientTest.java
+++ b/sequoianotch-daemon/src/test/java/org/sequoianotch/daemon/http/BackendClientTest.java
@@ -26,6 +26,7 @@
 import org.sequoianotch.error.ErrorKind;
 import org.sequoianotch.error.Failure;
 import org.sequoianotch.protocol.ResponseHeader;
+import org.sequoianotch.protocol.link.Transport;
 import org.sequoianotch.time.SystemClock;
 
 /** Guards against truncated responses of a backend server that are forwarded as complete ones. */
@@ -34,6 +35,9 @@
     private static final long TIMEOUT_MS = 5_000;
 
     private final EventLoopGroup eventLoops = new NioEventLoopGroup(1);
+    /** The transport of the processes, which is a native one where there is one. */
+    private final Transport transport = Transport.create(1);
+
     private final AtomicInteger accepted = new AtomicInteger();
     private ServerSocket server;
 
@@ -46,6 +50,7 @@
     void close() throws IOException {
         server.close();
         eventLoops.shutdownGracefully();
+        transport.close();
     }
 
     @ParameterizedTest
@@ -82,16 +87,35 @@
         assertThat(call(closeDelimitedClient().connect().get()).get()).isEqualTo("abcd");
     }
 
-    /** A backend server that crashes can truncate its response at any byte, also within the head. */
-    @Test
-    void responseTruncatedAtAnyByteIsAFailure() throws Exception {
-        String complete = "HTTP/1.1 200 OK\r\nX-First: a1\r\nX-Second: s\r\nContent-Length: 4\r\n\r\nabcd";
+    /**
+     * A backend server that crashes can truncate its response at any byte, also within the head. A head that breaks off
+     * must not be taken for a whole one whose body ends with the connection, on either transport, also behind a whole
+     * response.
+     */
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            textBlock =
+                    """
+                    HTTP/1.1 200 OK^X-First: a1^X-Second: s^Content-Length: 4^^abcd   | false | false
+                    HTTP/1.1 200 OK^Content-Length: 4^X-First: a1^X-Second: s^^abcd   | true  | false
+                    HTTP/1.1 200 OK^Content-Length: 12^X-First: a1^^abcdefghijkl      | true  | true
+                    HTTP/1.0 200 OK^X-First: a1^Content-Length: 4^^abcd               | true  | false
+                    HTTP/1.1 200 OK^Transfer-Encoding: chunked^X-First: a1^^2^ab^0^^  | true  | true
+                    """)
+    void responseTruncatedAtAnyByteIsAFailure(String response, boolean nativeTransport, boolean reset)
+            throws Exception {
+        String complete = response.strip().replace("^", "\r\n");
+        EventLoopGroup loops = nativeTransport ? transport.eventLoops() : eventLoops;
+        String whole = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
         for (int length = 0; length < complete.length(); length++) {
-            String truncated = complete.substring(0, length);
-            serveOnce(truncated);
+            serveThenTruncate(whole, complete.substring(0, length), reset);
+            BackendClient client = closeDelimitedClient(loops);
+            BackendConnection first = client.connect().get();
+            assertThat(call(first).get()).isEqualTo("ok");
+            first.release();
 
-            Either<Failure, String> result =
-                    call(closeDelimitedClient().connect().get());
+            Either<Failure, String> result = call(client.connect().get());
 
             assertWithMessage("truncated after %s bytes", length)
                     .that(result.isLeft())
@@ -99,12 +123,18 @@
         }
     }
 
-    private void serveOnce(String response) {
+    private void serveThenTruncate(String first, String truncated, boolean reset) {
         Thread.ofVirtual().start(() -> {
             try (Socket socket = server.accept()) {
                 socket.getInputStream().read(new byte[4_096]);
-                socket.getOutputStream().write(response.getBytes(StandardCharsets.US_ASCII));
-            } catch (IOException e) {
+                socket.getOutputStream().write(first.getBytes(StandardCharsets.US_ASCII));
+                socket.getInputStream().read(new byte[4_096]);
+                socket.getOutputStream().write(truncated.getBytes(StandardCharsets.US_ASCII));
+                if (reset) {
+                    Thread.sleep(20);
+                    socket.setSoLinger(true, 0);
+                }
+            } catch (IOException | InterruptedException e) {
                 throw new IllegalStateException(e);
             }
         });
@@ -184,9 +214,13 @@
     }
 
     private BackendClient closeDelimitedClient() {
+        return closeDelimitedClient(eventLoops);
+    }
+
+    private BackendClient closeDelimitedClient(EventLoopGroup loops) {
         return new BackendClient(
                 new InetSocketAddress(InetAddress.getLoopbackAddress(), server.getLocalPort()),
-                eventLoops,
+                loops,
                 1_000,
                 true,
                 SystemClock.INSTANCE);
