--- a/sequoianotch-control/src/main/java/org/sequoianotch/control/ControlGroup.java
+++ b/sequoianotch-control/src/main/java/org/sequoianotch/control/ControlGroup.java
@@ -422,6 +422,15 @@
         return raft().status();
     }
 
+    /**
+     * Returns the addresses of the group's members in the data folder of this host.
+     *
+     * @return the addresses of their peer listeners, empty before this host belongs to a group; never null
+     */
+    public List<String> storedAddresses() {
+        return raft().status().members().members().stream().map(Member::address).toList();
+    }
+
     /**
      * Returns the highest revision known here to be committed, which may be stale.
      *
--- a/sequoianotch-membership/src/main/java/org/sequoianotch/membership/Membership.java
+++ b/sequoianotch-membership/src/main/java/org/sequoianotch/membership/Membership.java
@@ -1,6 +1,7 @@
 package org.sequoianotch.membership;
 
 import io.vavr.control.Either;
+import java.util.Collection;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Executor;
@@ -213,6 +214,18 @@
                 instance.startedAtMs());
     }
 
+    /**
+     * Adds addresses through which this node joins, beside the seeds of its options, which may all be gone.
+     *
+     * @param addresses peer addresses of other nodes; not null
+     */
+    public void addSeeds(Collection<String> addresses) {
+        synchronized (table) {
+            exchanger.addSeeds(addresses);
+        }
+        bringTickForward();
+    }
+
     /**
      * Sets the configuration revision in force on this node. A lower revision than before is ignored.
      *
--- a/sequoianotch-membership/src/main/java/org/sequoianotch/membership/StateExchanger.java
+++ b/sequoianotch-membership/src/main/java/org/sequoianotch/membership/StateExchanger.java
@@ -2,6 +2,7 @@
 
 import io.vavr.control.Either;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -63,6 +64,9 @@
     private final PeerRequester requester;
     private final MembershipCounters counters;
     private final Runnable afterMerge;
+    /** Addresses through which this node joins; of the options, and those that were added later. */
+    private final Set<String> seeds = new LinkedHashSet<>();
+
     private final Set<String> inFlight = new HashSet<>();
     private final Set<String> unknownSenders = new LinkedHashSet<>();
     private final Map<DataCentre, Integer> consecutiveFailures = new HashMap<>();
@@ -87,6 +91,7 @@
         this.requester = requester;
         this.counters = counters;
         this.afterMerge = afterMerge;
+        seeds.addAll(options.seeds());
         double nowMs = clock.monotonicMs();
         nextSeedExchangeAtMs = nowMs;
         nextExchangeAtMs = nowMs + random.nextDouble() * options.exchangeIntervalMs();
@@ -131,6 +136,12 @@
         return table.hasPendingForwards() ? Math.min(dueMs, nextForwardAtMs) : dueMs;
     }
 
+    /** Adds addresses to join through, and tries those that are not reachable members in the next tick. */
+    void addSeeds(Collection<String> addresses) {
+        seeds.addAll(addresses);
+        nextSeedExchangeAtMs = clock.monotonicMs();
+    }
+
     /** Queues the address of a sender that is not in the member table for an exchange in the next tick. */
     void onUnknownSender(String address) {
         if (unknownSenders.size() < MAX_UNKNOWN_SENDERS) {
@@ -145,7 +156,7 @@
                 reachable.add(entry.member.peerAddress());
             }
         }
-        return options.seeds().stream()
+        return seeds.stream()
                 .filter(address -> !address.equals(options.peerAddress()))
                 .filter(address -> !joined || !reachable.contains(address))
                 .toList();
--- a/sequoianotch-membership/src/test/java/org/sequoianotch/membership/MembershipTest.java
+++ b/sequoianotch-membership/src/test/java/org/sequoianotch/membership/MembershipTest.java
@@ -48,6 +48,21 @@
         assertThat(joinedMs).isLessThan(5_000.0);
     }
 
+    /** Guards against nodes that stay apart because their seeds are all gone, although one has stored an address. */
+    @Test
+    void joinsThroughAnAddedAddressIfAllSeedsAreGone() {
+        Simulation simulation = new Simulation(3);
+        simulation.add("a", "dc0", "gone");
+        simulation.add("b", "dc0", "gone");
+        simulation.run(10_000);
+        assertThat(simulation.node("a").view().count(MemberState.ALIVE)).isEqualTo(1);
+
+        simulation.node("a").membership().addSeeds(List.of("b"));
+
+        double joinedMs = simulation.runUntilAll(5_000, node -> node.view().count(MemberState.ALIVE) == 2);
+        assertThat(joinedMs).isLessThan(5_000.0);
+    }
+
     /** Guards against calls to a dead host for longer than a few seconds, and against eviction of healthy members. */
     @ParameterizedTest
     @ValueSource(ints = {5, 20, 90})
