--- a/sequoianotch-control/src/main/java/org/sequoianotch/control/log/RecordFrame.java
+++ b/sequoianotch-control/src/main/java/org/sequoianotch/control/log/RecordFrame.java
@@ -22,6 +22,8 @@
     static final int HEADER_BYTES = 12;
     private static final byte END_MARK = 0x5A;
     private static final String SYNC_MARK = "synced";
+    /** The MessagePack header of the text; the payload of any other record starts with a number. */
+    private static final byte SYNC_MARK_START = (byte) (0xA0 | SYNC_MARK.length());
 
     /**
      * Payloads and offsets of the complete records in a file without the sync mark, and the size of these records in
@@ -60,6 +62,9 @@
     }
 
     static boolean isSyncMark(byte[] content, int offset) {
+        if (content.length - offset <= HEADER_BYTES || content[offset + HEADER_BYTES] != SYNC_MARK_START) {
+            return false;
+        }
         byte[] mark = syncMark(offset);
         int end = Math.min(content.length, offset + mark.length);
         return Arrays.equals(content, offset, end, mark, 0, mark.length);
