Vary the number of hosts and the network in the simulation of final faults

Cause: the simulation knew six hosts and a network without losses. Change: five to nine hosts by seed, delays of up to 10 ms, and losses of up to 3% of the messages on half of the seeds.

--- a/sequoianotch-control/src/test/java/org/sequoianotch/control/group/FinalFaultTest.java
+++ b/sequoianotch-control/src/test/java/org/sequoianotch/control/group/FinalFaultTest.java
@@ -26,8 +26,13 @@
  * <p>Each case plays one trouble, one change and one final fault, with a seed that decides on all times.
  */
 final class FinalFaultTest {
-    private static final int HOSTS = 6;
+    /** The fewest and the most hosts that have a vote each while two disks may be lost. */
+    private static final int MIN_HOSTS = 5;
+
+    private static final int MAX_HOSTS = 9;
     private static final int TOLERATED_LOSSES = 2;
+    /** The network between data centres loses some messages on some seeds. */
+    private static final double MAX_LOSS_RATE = 0.03;
 
     /** Seeds of each combination; a system property allows for longer runs by hand. */
     private static final long SEEDS = Long.getLong("sequoianotch.finalFaultSeeds", 12);
@@ -241,7 +246,10 @@
     }
 
     private static GroupSimulation newGroup(long seed) {
-        GroupSimulation group = new GroupSimulation(HOSTS, seed);
+        int hosts = MIN_HOSTS + Math.floorMod(seed, MAX_HOSTS - MIN_HOSTS + 1);
+        GroupSimulation group = new GroupSimulation(hosts, seed);
+        group.lossRate = group.random.nextBoolean() ? 0 : group.random.nextDouble() * MAX_LOSS_RATE;
+        group.maxDelayMs = 1 + group.random.nextInt(10);
         group.policy = new MemberChangePolicy(GONE_AFTER_MS, REMOVE_AFTER_MS, 2 * TOLERATED_LOSSES + 1, 9);
         return group;
     }
