Share the platform's times between the simulations of the control group

Cause: FinalFaultTest and MemberReplacementTest had the same constants. Change: PlatformTimes has them and the policy of a control host; a final fault has two properties instead of three, of which two were always equal.

--- a/sequoianotch-control/src/test/java/org/sequoianotch/control/group/FinalFaultTest.java
+++ b/sequoianotch-control/src/test/java/org/sequoianotch/control/group/FinalFaultTest.java
@@ -1,6 +1,12 @@
 package org.sequoianotch.control.group;
 
 import static com.google.common.truth.Truth.assertWithMessage;
+import static org.sequoianotch.control.group.PlatformTimes.CATCH_UP_MS;
+import static org.sequoianotch.control.group.PlatformTimes.RECOVERY_MS;
+import static org.sequoianotch.control.group.PlatformTimes.REMOVE_AFTER_MS;
+import static org.sequoianotch.control.group.PlatformTimes.START_DELAY_MS;
+import static org.sequoianotch.control.group.PlatformTimes.TOLERATED_LOSSES;
+import static org.sequoianotch.control.group.PlatformTimes.scaled;
 import static org.sequoianotch.control.state.SampleTemplates.change;
 
 import io.vavr.control.Either;
@@ -30,25 +36,13 @@
     private static final int MIN_HOSTS = 5;
 
     private static final int MAX_HOSTS = 9;
-    private static final int TOLERATED_LOSSES = 2;
     /** The network between data centres loses some messages on some seeds. */
     private static final double MAX_LOSS_RATE = 0.03;
 
     /** Seeds of each combination; a system property allows for longer runs by hand. */
     private static final long SEEDS = Long.getLong("sequoianotch.finalFaultSeeds", 12);
 
-    /** The platform's times, at the ratio of the simulation's election timeout to that of a control host. */
-    private static final long START_DELAY_MS = scaled(1_000);
-
     private static final long MAX_DOWN_MS = scaled(3_000);
-    private static final long CATCH_UP_MS = scaled(4_000);
-    private static final long REMOVE_AFTER_MS = scaled(2_000);
-    private static final long GONE_AFTER_MS = 2 * GroupSimulation.SETTINGS.electionTimeoutMs();
-    private static final long RECOVERY_MS = scaled(15_000);
-
-    private static long scaled(long platformMs) {
-        return platformMs * GroupSimulation.SETTINGS.electionTimeoutMs() / 700;
-    }
 
     /** What happens before the final fault. Each trouble is over when it returns, but not what follows from it. */
     enum Trouble {
@@ -146,20 +140,18 @@
 
     /** What strikes at the end. */
     enum FinalFault {
-        ALL_KILLED(false, false, false),
-        ALL_LOSE_POWER(true, true, false),
-        DISKS_LOST(false, false, true),
-        DISKS_LOST_AND_ALL_LOSE_POWER(true, true, true);
-
-        /** Whether the hosts that keep their disks are lost, too. */
-        private final boolean othersLosePower;
+        ALL_KILLED(false, false),
+        ALL_LOSE_POWER(true, false),
+        DISKS_LOST(false, true),
+        DISKS_LOST_AND_ALL_LOSE_POWER(true, true);
 
-        private final boolean tearsWrites;
+        /** Whether all hosts lose their power, which also tears writes. */
+        private final boolean losesPower;
+        /** Whether two hosts come back with an empty disk; without a power loss, only they stop. */
         private final boolean losesDisks;
 
-        FinalFault(boolean othersLosePower, boolean tearsWrites, boolean losesDisks) {
-            this.othersLosePower = othersLosePower;
-            this.tearsWrites = tearsWrites;
+        FinalFault(boolean losesPower, boolean losesDisks) {
+            this.losesPower = losesPower;
             this.losesDisks = losesDisks;
         }
 
@@ -168,7 +160,7 @@
          * that there must be few enough for a change to be acknowledged without them.
          */
         void interruptNextWrites(GroupSimulation group) {
-            if (tearsWrites) {
+            if (losesPower) {
                 Host leader = group.awaitLeader();
                 List<Host> followers = new ArrayList<>(group.presentHosts());
                 followers.remove(leader);
@@ -184,9 +176,9 @@
             List<Host> hosts = new ArrayList<>(group.presentHosts());
             Collections.shuffle(hosts, group.random);
             List<Host> withoutDisk = losesDisks ? hosts.subList(0, TOLERATED_LOSSES) : List.of();
-            List<Host> struck = othersLosePower || !losesDisks ? hosts : withoutDisk;
+            List<Host> struck = losesPower || !losesDisks ? hosts : withoutDisk;
             struck.forEach(Host::stop);
-            struck.forEach(host -> host.refusesConnections = !tearsWrites);
+            struck.forEach(host -> host.refusesConnections = !losesPower);
             long lastMs = 0;
             long downMs = START_DELAY_MS / 2 + group.random.nextInt((int) START_DELAY_MS);
             for (Host host : struck) {
@@ -250,7 +242,7 @@
         GroupSimulation group = new GroupSimulation(hosts, seed);
         group.lossRate = group.random.nextBoolean() ? 0 : group.random.nextDouble() * MAX_LOSS_RATE;
         group.maxDelayMs = 1 + group.random.nextInt(10);
-        group.policy = new MemberChangePolicy(GONE_AFTER_MS, REMOVE_AFTER_MS, 2 * TOLERATED_LOSSES + 1, 9);
+        group.policy = PlatformTimes.memberChangePolicy();
         return group;
     }
 
--- a/sequoianotch-control/src/test/java/org/sequoianotch/control/group/MemberReplacementTest.java
+++ b/sequoianotch-control/src/test/java/org/sequoianotch/control/group/MemberReplacementTest.java
@@ -2,6 +2,10 @@
 
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
+import static org.sequoianotch.control.group.PlatformTimes.CATCH_UP_MS;
+import static org.sequoianotch.control.group.PlatformTimes.RECOVERY_MS;
+import static org.sequoianotch.control.group.PlatformTimes.START_DELAY_MS;
+import static org.sequoianotch.control.group.PlatformTimes.TOLERATED_LOSSES;
 import static org.sequoianotch.control.state.SampleTemplates.change;
 
 import java.util.ArrayList;
@@ -20,21 +24,8 @@
  */
 final class MemberReplacementTest {
     private static final int HOSTS = 6;
-    private static final int TOLERATED_LOSSES = 2;
     private static final long SEEDS = 40;
 
-    /** The platform's times, at the ratio of the simulation's election timeout to that of a control host. */
-    private static final long START_DELAY_MS = scaled(1_000);
-
-    private static final long CATCH_UP_MS = scaled(4_000);
-    private static final long REMOVE_AFTER_MS = scaled(2_000);
-    private static final long GONE_AFTER_MS = 2 * GroupSimulation.SETTINGS.electionTimeoutMs();
-    private static final long RECOVERY_MS = scaled(15_000);
-
-    private static long scaled(long platformMs) {
-        return platformMs * GroupSimulation.SETTINGS.electionTimeoutMs() / 700;
-    }
-
     /** How a host is lost. */
     enum Loss {
         KILLED {
@@ -64,7 +55,7 @@
 
     private static GroupSimulation newGroup(long seed) {
         GroupSimulation group = new GroupSimulation(HOSTS, seed);
-        group.policy = new MemberChangePolicy(GONE_AFTER_MS, REMOVE_AFTER_MS, 2 * TOLERATED_LOSSES + 1, 9);
+        group.policy = PlatformTimes.memberChangePolicy();
         return group;
     }
 
