--- a/review/standins-2/HangCase.java
+++ b/review/standins-2/HangCase.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
@@ -16,7 +17,7 @@
  */
 final class HangCase {
     private static final int ZONES = 2;
-    private static final int NODES_PER_ZONE = 12;
+    private static final int NODES_PER_ZONE = 18;
     private static final double HERD_SHARE = 0.6;
     private static final long TIMEOUT_MS = 800;
     private static final double LATE_S = TIMEOUT_MS / 1_000.0 + 0.5;
@@ -33,6 +34,8 @@
     private final Map<Fleet.Machine, Integer> misses = new ConcurrentHashMap<>();
     private final Map<Fleet.Machine, Double> readyAt = new ConcurrentHashMap<>();
     private final ConcurrentLinkedQueue<Request> requests = new ConcurrentLinkedQueue<>();
+    /** Nodes that were found hung; only their requests count as held, so that a busy test machine does not matter. */
+    private final Set<Fleet.Machine> everHung = ConcurrentHashMap.newKeySet();
     private volatile boolean ended;
 
     private HangCase(Fleet fleet) {
@@ -96,12 +99,12 @@
         double end = fleet.now() + seconds;
         int starts = 0;
         while (fleet.now() < end) {
-            Thread.sleep(400);
+            Thread.sleep(300);
             if (trouble) {
                 starts += herd(random);
             }
             // The killed nodes are back, and become ready.
-            Thread.sleep(1_200);
+            Thread.sleep(900);
             if (broken(count())) {
                 Thread.sleep(2_000);
                 break;
@@ -112,7 +115,7 @@
         Thread.sleep(6_000);
         int[] counted = count();
         Map<String, Integer> heldBy = new TreeMap<>();
-        requests.stream().filter(HangCase::isHeld).forEach(request -> heldBy.merge(request.machine().name, 1, Integer::sum));
+        requests.stream().filter(this::isHeld).forEach(request -> heldBy.merge(request.machine().name, 1, Integer::sum));
         String result = starts + " processes were killed and started; the nodes " + hung
                 + " hang; of " + requests.size() + " requests, " + counted[0] + " at machines in touch had no answer at the"
                 + " route's timeout, and " + counted[1] + " of these none half a second later: " + heldBy;
@@ -137,6 +140,7 @@
         List<Fleet.Machine> herd = new ArrayList<>(fleet.nodes);
         Collections.shuffle(herd, random);
         List<Fleet.Machine> hung = hung();
+        everHung.addAll(hung);
         // A node that is not ready yet is spared, so that it can be told whether it hangs.
         herd.removeIf(node -> misses.get(node) >= 2);
         for (Fleet.Machine node : hung) {
@@ -153,7 +157,7 @@
         }
         fleet.log("killed at once: " + names(herd));
         // Down for as long as the site file has it (herd_kill, for_s = 2.0), if the zone of a hung node is concerned.
-        Thread.sleep(hung.isEmpty() ? 500 : 2_000);
+        Thread.sleep(hung.isEmpty() ? 300 : 2_000);
         for (Fleet.Machine node : herd) {
             node.start();
         }
@@ -226,8 +230,10 @@
         requests.add(new Request(node, sentAt, endedAt, sentAt > disturbedAt + WINDOW_S && undisturbed));
     }
 
-    private static boolean isHeld(Request request) {
-        return request.inTouch() && request.endedAt() > request.sentAt() + LATE_S;
+    private boolean isHeld(Request request) {
+        return everHung.contains(request.machine())
+                && request.inTouch()
+                && request.endedAt() > request.sentAt() + LATE_S;
     }
 
     /** Counts the requests at machines in touch without an answer at the timeout, and those without one 0.5 s later. */
