--- a/review/standins-2/Instance.java
+++ b/review/standins-2/Instance.java
@@ -29,6 +29,7 @@
     final AtomicInteger running = new AtomicInteger();
     private final AtomicLong sequence = new AtomicLong();
     private volatile boolean ended;
+    private volatile boolean beats = true;
     /** Path of the call that a request needs, or empty if it needs none. */
     private final String callPath;
     /** Whether it drops a request, and the call that the request makes, when the connection of the request closes. */
@@ -207,24 +208,44 @@
         out.flush();
     }
 
+    /** Returns the next heartbeat, which the caller sends. */
+    byte[] nextBeat() {
+        Map<String, Object> beat = new LinkedHashMap<>();
+        beat.put("address", machine.ip + ":" + Fleet.APP);
+        beat.put("service", machine.service);
+        beat.put("data_centre", machine.zone);
+        beat.put("version", "v1");
+        beat.put("slots", slots);
+        beat.put("state", "ready");
+        beat.put("sequence", sequence.incrementAndGet());
+        beat.put("cold_left_ms", 0);
+        beat.put("born", bornMs);
+        return Fleet.pack(beat);
+    }
+
+    /** Sends a heartbeat and returns whether it was acknowledged. */
+    boolean send(byte[] beat) {
+        return post("/heartbeat", beat);
+    }
+
+    /** Ends the heartbeats, says that this instance leaves, and returns whether that was acknowledged. */
+    boolean deregister() {
+        beats = false;
+        return post("/deregister", Fleet.pack(Map.of("born", bornMs)));
+    }
+
+    private boolean post(String path, byte[] body) {
+        try {
+            return Fleet.Http.call(machine.ip, Fleet.CONTROL, "POST", "/api/instances/" + id + path,
+                    Map.of("Content-Type", "application/msgpack"), body, 1_000).status() == 200;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
     private void beat() {
-        while (!ended) {
-            Map<String, Object> beat = new LinkedHashMap<>();
-            beat.put("address", machine.ip + ":" + Fleet.APP);
-            beat.put("service", machine.service);
-            beat.put("data_centre", machine.zone);
-            beat.put("version", "v1");
-            beat.put("slots", slots);
-            beat.put("state", "ready");
-            beat.put("sequence", sequence.incrementAndGet());
-            beat.put("cold_left_ms", 0);
-            beat.put("born", bornMs);
-            try {
-                Fleet.Http.call(machine.ip, Fleet.CONTROL, "POST", "/api/instances/" + id + "/heartbeat",
-                        Map.of("Content-Type", "application/msgpack"), Fleet.pack(beat), 1_000);
-            } catch (IOException e) {
-                // The next heartbeat follows.
-            }
+        while (beats) {
+            send(nextBeat());
             try {
                 Thread.sleep(1_500);
             } catch (InterruptedException e) {
