--- a/review/standins-2/HangCase.java
+++ b/review/standins-2/HangCase.java
@@ -19,7 +19,7 @@
     private static final int ZONES = 2;
     private static final int NODES_PER_ZONE = 18;
     private static final double HERD_SHARE = 0.6;
-    private static final long TIMEOUT_MS = 800;
+    private static final long TIMEOUT_MS = 2_000;
     private static final double LATE_S = TIMEOUT_MS / 1_000.0 + 0.5;
     /** The bound connectivity_window. */
     private static final double WINDOW_S = 3.0;
@@ -44,7 +44,7 @@
 
     public static void main(String[] arguments) throws Exception {
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-        double seconds = Double.parseDouble(System.getenv().getOrDefault("SECONDS_OF_TRAFFIC", "75"));
+        double seconds = Double.parseDouble(System.getenv().getOrDefault("SECONDS_OF_TRAFFIC", "66"));
         int code = 2;
         Fleet fleet = new Fleet(3, 1);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
@@ -76,13 +76,13 @@
                 Fleet.route("r-spec", "/spec/", "idempotent", TIMEOUT_MS, 2, "specdesk"),
                 Fleet.route("r-job", "/job/", "non_idempotent", TIMEOUT_MS, 1, "jobbook")),
                 List.of("specdesk", "jobbook")), 15);
-        for (Fleet.Machine missing : fleet.awaitReady(6)) {
-            fleet.log("set-up: " + missing.name + " did not become ready within 6 s; it is killed and started again");
+        for (Fleet.Machine missing : fleet.awaitReady(9)) {
+            fleet.log("set-up: " + missing.name + " did not become ready within 9 s; it is killed and started again");
             missing.kill();
             missing.process.waitFor();
             missing.start();
         }
-        if (!fleet.awaitReady(6).isEmpty()) {
+        if (!fleet.awaitReady(8).isEmpty()) {
             throw new IllegalStateException("not all nodes became ready");
         }
         Thread.sleep(4_000);
@@ -105,14 +105,17 @@
             }
             // The killed nodes are back, and become ready.
             Thread.sleep(900);
+            everHung.addAll(hung());
             if (broken(count())) {
-                Thread.sleep(2_000);
                 break;
             }
         }
+        // Nodes that have hung in the last seconds are found as well.
+        Thread.sleep((long) (1_000 * HUNG_S) + 500);
+        everHung.addAll(hung());
         List<String> hung = names(hung());
         ended = true;
-        Thread.sleep(6_000);
+        Thread.sleep(5_500);
         int[] counted = count();
         Map<String, Integer> heldBy = new TreeMap<>();
         requests.stream().filter(this::isHeld).forEach(request -> heldBy.merge(request.machine().name, 1, Integer::sum));
