Respond to an instance whose outer request has ended

Cause: the error kind CALLER_GONE stood for "my caller has left" and for "a call above me was cancelled", and RequestRunner closed the connection for either. A time limit, a stop and a lost link above had the same effect, as the cancellation of the outer call reaches its sub-requests.

Change: CancelCause says what ended a request. A sub-request never inherits that the caller has left; it ends with the new kind call_cancelled (502, outcome unknown) or deadline_in_doubt (504). RequestRunner responds in all cases, and only the connection decides whether somebody is there. The work still ends at once. The reason goes along to the other node for its record. A connection that the node closes itself is no longer recorded as closed by the caller.

--- a/sequoianotch-core/src/main/java/org/sequoianotch/error/ErrorKind.java
+++ b/sequoianotch-core/src/main/java/org/sequoianotch/error/ErrorKind.java
@@ -51,6 +51,8 @@
     BACKEND_CUT_ANSWER(502, Outcome.UNKNOWN, 0, "The backend server's answer ended early."),
     /** The request body of the caller ended early after a part of it had been forwarded. */
     BODY_INCOMPLETE(400, Outcome.UNKNOWN, 0, "The request body ended early."),
+    /** The call that the request serves has ended, which its own caller may not know yet. */
+    CALL_CANCELLED(502, Outcome.UNKNOWN, 0, "The call that this request serves has ended."),
     /** The caller closed its connection. Only recorded, because no response can be delivered. */
     CALLER_GONE(499, Outcome.UNKNOWN, 0, "The caller closed its connection."),
     /** An internal error of the node. */
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/burn/Verdict.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/burn/Verdict.java
@@ -59,7 +59,7 @@
             case BAD_REQUEST, UNKNOWN_SERVICE, KEY_REQUIRED, KEY_REUSED, BODY_INCOMPLETE, BODY_TOO_LARGE -> Optional
                     .empty();
                 // A caller that closed its connection later than the objective allows probably gave up waiting.
-            case CALLER_GONE -> late ? Optional.of(LATE) : Optional.empty();
+            case CALLER_GONE, CALL_CANCELLED -> late ? Optional.of(LATE) : Optional.empty();
         };
     }
 
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/AttemptRunner.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/AttemptRunner.java
@@ -5,7 +5,6 @@
 import org.jspecify.annotations.Nullable;
 import org.sequoianotch.daemon.explain.EventKind;
 import org.sequoianotch.daemon.explain.RequestRecorder;
-import org.sequoianotch.error.ErrorKind;
 import org.sequoianotch.error.Failure;
 import org.sequoianotch.model.Instance;
 import org.sequoianotch.model.LoadReport;
@@ -65,7 +64,7 @@
             return Either.left(opened.getLeft());
         }
         PeerCall call = opened.get();
-        Runnable cancel = () -> call.cancel("the request was cancelled");
+        Runnable cancel = () -> call.cancel(cancelReason(context));
         context.onCancel(cancel);
         Either<Failure, IncomingResponse> response = exchange(call, context, instance, body, time);
         if (response.isLeft()) {
@@ -80,6 +79,11 @@
         return response;
     }
 
+    /** Tells the other node why the call ends, for its record. */
+    private static String cancelReason(RequestContext context) {
+        return context.cancellation().map(Cancellation::detail).orElse("The request was cancelled.");
+    }
+
     private Either<Failure, PeerCall> open(OutboundCall outbound, RequestContext context, Instance instance) {
         CallHeader header = new CallHeader(
                 context.requestId(),
@@ -158,16 +162,13 @@
             }
             return status >= SERVER_ERROR ? AttemptResult.SERVER_ERROR : AttemptResult.SUCCEEDED;
         }
-        boolean callerGone = context.cancellation()
-                .filter(failure -> failure.kind() == ErrorKind.CALLER_GONE)
-                .isPresent();
-        if (callerGone) {
+        if (context.isWithdrawn()) {
             return AttemptResult.CANCELLED;
         }
         return switch (response.getLeft().kind()) {
             case OVERLOADED, INSTANCE_REFUSED, DRAINING, DEADLINE_BEFORE_RUN -> AttemptResult.REFUSED;
             case DEADLINE_IN_DOUBT -> AttemptResult.TIMED_OUT;
-            case BODY_INCOMPLETE, CALLER_GONE -> AttemptResult.CANCELLED;
+            case BODY_INCOMPLETE, CALLER_GONE, CALL_CANCELLED -> AttemptResult.CANCELLED;
             default -> AttemptResult.UNREACHABLE;
         };
     }
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/BackendHandler.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/BackendHandler.java
@@ -76,8 +76,7 @@
         double ownDeadlineMs = clock.monotonicMs() + timeoutMs;
         RequestContext context = parent.map(call -> call.newSubCall(ownDeadlineMs))
                 .orElseGet(() -> newOrphanContext(exchange, ownDeadlineMs));
-        exchange.onClose(
-                () -> context.cancel(Failure.of(ErrorKind.CALLER_GONE, "The backend server closed its connection.")));
+        exchange.onClose(() -> context.cancel(Cancellation.ofClosedConnection(exchange.isClosedByNode())));
         try {
             runner.run(exchange, outbound, context);
         } catch (RuntimeException e) {
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/BodyPipe.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/BodyPipe.java
@@ -98,6 +98,6 @@
 
     private static <T> Either<Failure, T> interrupted() {
         Thread.currentThread().interrupt();
-        return Either.left(Failure.of(ErrorKind.CALLER_GONE, "The thread was interrupted."));
+        return Either.left(Failure.of(ErrorKind.INTERNAL, "The thread was interrupted."));
     }
 }
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/CallForwarder.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/CallForwarder.java
@@ -187,9 +187,9 @@
         } else if (history.attempts > 1 && last.kind() == ErrorKind.NO_INSTANCE) {
             result = Failure.of(ErrorKind.RETRIES_EXHAUSTED, last.detail());
         }
-        Optional<Failure> cancellation = context.cancellation();
+        Optional<Cancellation> cancellation = context.cancellation();
         if (cancellation.isPresent() && !result.provesNotRun()) {
-            result = cancellation.get();
+            result = cancellation.get().failure();
         }
         return new ForwardResult(Either.left(result), history.attempts);
     }
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/CallerHandler.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/CallerHandler.java
@@ -107,11 +107,11 @@
         Timeout deadline = dependencies
                 .timer()
                 .newTimeout(
-                        timeout -> context.cancel(Failure.of(
-                                ErrorKind.DEADLINE_IN_DOUBT, "The deadline of " + timeoutMs + " ms passed.")),
+                        timeout -> context.cancel(new Cancellation(
+                                CancelCause.TIME_LIMIT_PASSED, "The deadline of " + timeoutMs + " ms passed.")),
                         timeoutMs,
                         TimeUnit.MILLISECONDS);
-        exchange.onClose(() -> context.cancel(Failure.of(ErrorKind.CALLER_GONE, "The caller closed its connection.")));
+        exchange.onClose(() -> context.cancel(Cancellation.ofClosedConnection(exchange.isClosedByNode())));
         RunResult result = runner.runGuarded(exchange, outbound, context);
         deadline.cancel();
         recorder.recordEnd(new RequestSummary(
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/InstanceServer.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/InstanceServer.java
@@ -89,10 +89,10 @@
                 RetryAllowance.of(header.retryShare()));
         Timeout deadline = timer.newTimeout(
                 timeout -> context.cancel(
-                        Failure.of(ErrorKind.DEADLINE_IN_DOUBT, "The deadline passed at the instance's node.")),
+                        new Cancellation(CancelCause.TIME_LIMIT_PASSED, "The deadline passed at the instance's node.")),
                 header.timeLeftMs(),
                 TimeUnit.MILLISECONDS);
-        call.onCancel(() -> context.cancel(Failure.of(ErrorKind.CALLER_GONE, "The calling node cancelled the call.")));
+        call.onCancel(reason -> context.cancel(new Cancellation(CancelCause.CALL_ABOVE_ENDED, reason.detail())));
         try {
             admit(call, context);
         } catch (InterruptedException e) {
@@ -196,8 +196,7 @@
             }
             return status.get() >= SERVER_ERROR ? CallResult.FAILED : CallResult.SUCCEEDED;
         }
-        Optional<Failure> cancellation = context.cancellation();
-        if (cancellation.isPresent() && cancellation.get().kind() == ErrorKind.CALLER_GONE) {
+        if (context.isWithdrawn()) {
             return CallResult.CANCELLED;
         }
         return switch (status.getLeft().kind()) {
@@ -208,7 +207,9 @@
     }
 
     private static Failure withCancellation(Failure failure, RequestContext context) {
-        return failure.provesNotRun() ? failure : context.cancellation().orElse(failure);
+        return failure.provesNotRun()
+                ? failure
+                : context.cancellation().map(Cancellation::failure).orElse(failure);
     }
 
     /**
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/LocalCall.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/LocalCall.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.sequoianotch.error.ErrorKind;
 import org.sequoianotch.error.Failure;
@@ -27,9 +28,9 @@
     private final BodyPipe requestBody = new BodyPipe();
     private final BodyPipe responseBody = new BodyPipe();
     private final Promise<Either<Failure, ResponseHeader>> head = new Promise<>();
-    private final List<Runnable> cancelActions = new ArrayList<>();
+    private final List<Consumer<Failure>> cancelActions = new ArrayList<>();
     private volatile @Nullable ResponseTrailer trailer;
-    private boolean cancelled;
+    private @Nullable Failure cancelled;
 
     private LocalCall() {}
 
@@ -61,7 +62,7 @@
                     Failure.of(ErrorKind.DEADLINE_IN_DOUBT, "No response arrived within " + timeoutMs + " ms."));
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
-            return Either.left(Failure.of(ErrorKind.CALLER_GONE, "The thread was interrupted."));
+            return Either.left(Failure.of(ErrorKind.INTERNAL, "The thread was interrupted."));
         }
     }
 
@@ -77,17 +78,19 @@
 
     @Override
     public void cancel(String reason) {
-        List<Runnable> actions;
+        Failure failure = Failure.of(ErrorKind.CALL_CANCELLED, reason);
+        List<Consumer<Failure>> actions;
         synchronized (cancelActions) {
-            cancelled = true;
+            if (cancelled == null) {
+                cancelled = failure;
+            }
             actions = List.copyOf(cancelActions);
             cancelActions.clear();
         }
-        Failure failure = Failure.of(ErrorKind.CALLER_GONE, reason);
         requestBody.fail(failure);
         responseBody.fail(failure);
         head.set(Either.left(failure));
-        actions.forEach(Runnable::run);
+        actions.forEach(action -> action.accept(failure));
     }
 
     /** The side of the call that the {@link CallHandler} serves. */
@@ -144,16 +147,16 @@
         }
 
         @Override
-        public void onCancel(Runnable action) {
-            boolean runNow;
+        public void onCancel(Consumer<Failure> action) {
+            Failure reason;
             synchronized (cancelActions) {
-                runNow = cancelled;
-                if (!cancelled) {
+                reason = cancelled;
+                if (reason == null) {
                     cancelActions.add(action);
                 }
             }
-            if (runNow) {
-                action.run();
+            if (reason != null) {
+                action.accept(reason);
             }
         }
     }
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/RequestContext.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/RequestContext.java
@@ -2,11 +2,10 @@
 
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
-import org.sequoianotch.error.ErrorKind;
-import org.sequoianotch.error.Failure;
 import org.sequoianotch.model.Criticality;
 import org.sequoianotch.model.LoadReport;
 import org.sequoianotch.model.RequestId;
@@ -34,11 +33,10 @@
     private final @Nullable RequestContext parent;
 
     private final Set<Runnable> cancelActions = new LinkedHashSet<>();
-    private @Nullable Failure cancellation;
+    private @Nullable Cancellation cancellation;
     private double lowestDownstreamLevel = LoadReport.ADMIT_ALL;
     private boolean subCallFailed;
-    private final Runnable cancelWithParent =
-            () -> cancel(Failure.of(ErrorKind.CALLER_GONE, "The parent call was cancelled."));
+    private final Runnable cancelWithParent = this::cancelWithParent;
 
     /**
      * Creates a context.
@@ -99,6 +97,13 @@
         return context;
     }
 
+    private void cancelWithParent() {
+        Objects.requireNonNull(parent)
+                .cancellation()
+                .map(Cancellation::ofSubRequest)
+                .ifPresent(this::cancel);
+    }
+
     /** Removes the cancel action from the parent call, if there is one. To be called when a sub-call has ended. */
     void detach() {
         if (parent != null) {
@@ -258,15 +263,15 @@
     /**
      * Cancels everything that is open below this context by running the registered actions. Later calls have no effect.
      *
-     * @param failure the reason; not null
+     * @param newCancellation what ended it; not null
      */
-    public void cancel(Failure failure) {
+    void cancel(Cancellation newCancellation) {
         List<Runnable> actions;
         synchronized (this) {
             if (cancellation != null) {
                 return;
             }
-            cancellation = failure;
+            cancellation = newCancellation;
             actions = List.copyOf(cancelActions);
             cancelActions.clear();
         }
@@ -276,9 +281,14 @@
     /**
      * Tells whether and why the request was cancelled.
      *
-     * @return the failure, or empty if it was not cancelled
+     * @return the cancellation, or empty if it was not cancelled
      */
-    public synchronized Optional<Failure> cancellation() {
+    synchronized Optional<Cancellation> cancellation() {
         return Optional.ofNullable(cancellation);
     }
+
+    /** Returns whether the request was cancelled because its work is no longer wanted. */
+    boolean isWithdrawn() {
+        return cancellation().filter(ended -> ended.cause().isWithdrawal()).isPresent();
+    }
 }
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/RequestRunner.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/RequestRunner.java
@@ -77,7 +77,7 @@
             }
             return refuse(exchange, context, Failure.of(ErrorKind.INTERNAL, e.toString()), 0);
         } finally {
-            context.cancel(Failure.of(ErrorKind.CALLER_GONE, "The request has ended."));
+            context.cancel(new Cancellation(CancelCause.CALL_ABOVE_ENDED, "The request has ended."));
         }
     }
 
@@ -222,7 +222,7 @@
             exchange.end();
             return new RunResult(response.head().status(), null, attempts);
         }
-        Failure reported = context.cancellation().orElse(streamFailure);
+        Failure reported = context.cancellation().map(Cancellation::failure).orElse(streamFailure);
         recorder.record(
                 context.requestId(),
                 EventKind.FAILED,
@@ -253,7 +253,10 @@
         return Failure.of(ErrorKind.CALLER_GONE, "The caller does not read its response.");
     }
 
-    /** Sends a refusal, or closes the connection if the caller has gone. */
+    /**
+     * Records and sends a refusal. It is sent whatever ended the request; only the connection tells whether the caller
+     * is still there, and drops the refusal if it is not.
+     */
     RunResult refuse(HttpExchange exchange, RequestContext context, Failure failure, int attempts)
             throws InterruptedException {
         recorder.record(
@@ -262,12 +265,8 @@
                 "The request ended with " + failure.kind().code() + " (outcome "
                         + failure.kind().outcome().headerValue() + "): " + failure.detail());
         context.recordStatus(failure.kind().status());
-        if (failure.kind() == ErrorKind.CALLER_GONE) {
-            exchange.abort();
-        } else {
-            exchange.respond(refusals.apply(failure)
-                    .plusHeader(REQUEST_ID_HEADER, context.requestId().toString()));
-        }
+        exchange.respond(refusals.apply(failure)
+                .plusHeader(REQUEST_ID_HEADER, context.requestId().toString()));
         return new RunResult(failure.kind().status(), failure.kind(), attempts);
     }
 
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/RouteHandler.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/RouteHandler.java
@@ -66,9 +66,9 @@
         stopsAtMs = newStopsAtMs;
     }
 
-    /** Ends the open requests with a failure, so that their callers get a response. */
-    void cancelOpenRequests(Failure failure) {
-        openRequests.forEach(context -> context.cancel(failure));
+    /** Ends the open requests, so that their callers get a response. */
+    void cancelOpenRequests(Cancellation cancellation) {
+        openRequests.forEach(context -> context.cancel(cancellation));
     }
 
     @Override
@@ -133,11 +133,11 @@
         RequestContext context =
                 newContext(outbound, info, startedAtMs + timeoutMs, startedAtMs + route.targetLatencyMs());
         Timeout deadline = timer.newTimeout(
-                timeout -> context.cancel(
-                        Failure.of(ErrorKind.DEADLINE_IN_DOUBT, "The time limit of " + timeoutMs + " ms passed.")),
+                timeout -> context.cancel(new Cancellation(
+                        CancelCause.TIME_LIMIT_PASSED, "The time limit of " + timeoutMs + " ms passed.")),
                 timeoutMs,
                 TimeUnit.MILLISECONDS);
-        exchange.onClose(() -> context.cancel(Failure.of(ErrorKind.CALLER_GONE, "The caller closed its connection.")));
+        exchange.onClose(() -> context.cancel(Cancellation.ofClosedConnection(exchange.isClosedByNode())));
         openRequests.add(context);
         RunResult result;
         try {
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/RoutedCallPath.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/RoutedCallPath.java
@@ -7,8 +7,6 @@
 import org.sequoianotch.daemon.explain.RequestRecorder;
 import org.sequoianotch.daemon.http.HttpHandler;
 import org.sequoianotch.daemon.ledger.NoLedger;
-import org.sequoianotch.error.ErrorKind;
-import org.sequoianotch.error.Failure;
 import org.sequoianotch.protocol.link.CallHandler;
 import org.sequoianotch.protocol.link.PeerNetwork;
 import org.sequoianotch.route.RouteTable;
@@ -104,8 +102,8 @@
 
     /** Responds to the requests of callers that are still open, whose outcome is unknown. */
     public void endOpenRequests() {
-        callerHandler.cancelOpenRequests(Failure.of(
-                ErrorKind.DEADLINE_IN_DOUBT, "The node is being stopped, and its time for open requests is over."));
+        callerHandler.cancelOpenRequests(new Cancellation(
+                CancelCause.NODE_STOPPED, "The node is being stopped, and its time for open requests is over."));
     }
 
     /**
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/HttpExchange.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/HttpExchange.java
@@ -268,6 +268,15 @@
         connection.onClose(action);
     }
 
+    /**
+     * Returns whether this node closed the connection, as opposed to the caller.
+     *
+     * @return true if the connection was closed by this node
+     */
+    public boolean isClosedByNode() {
+        return connection.isClosedByNode();
+    }
+
     /**
      * Returns whether the head of the response was sent.
      *
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/ServerConnection.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/ServerConnection.java
@@ -39,6 +39,7 @@
     private final ChannelWriter writer;
     private final List<Runnable> closeActions = new ArrayList<>();
     private boolean closed;
+    private volatile boolean closedByNode;
     private volatile boolean lingering;
 
     ServerConnection(Channel channel, HttpListener listener, ListenerOptions options, HttpHandler handler) {
@@ -187,9 +188,14 @@
     }
 
     void close() {
+        closedByNode = true;
         channel.close();
     }
 
+    boolean isClosedByNode() {
+        return closedByNode;
+    }
+
     /** Runs an action once when the peer closes the connection, or immediately if it is already closed. */
     void onClose(Runnable action) {
         boolean runNow;
--- a/sequoianotch-daemon/src/test/java/org/sequoianotch/daemon/burn/BurnTest.java
+++ b/sequoianotch-daemon/src/test/java/org/sequoianotch/daemon/burn/BurnTest.java
@@ -47,6 +47,8 @@
         "LEDGER_UNREACHABLE,503,1,UNKNOWN",
         "KEY_REUSED,422,1,",
         "BODY_INCOMPLETE,400,1,",
+        "CALL_CANCELLED,502,1,",
+        "CALL_CANCELLED,502,101,LATE",
         "CALLER_GONE,499,1,",
         "CALLER_GONE,499,101,LATE"
     })
--- a/sequoianotch-policy/src/main/java/org/sequoianotch/policy/retry/ProtectiveRetryPolicy.java
+++ b/sequoianotch-policy/src/main/java/org/sequoianotch/policy/retry/ProtectiveRetryPolicy.java
@@ -83,6 +83,7 @@
                     BODY_INCOMPLETE,
                     BODY_TOO_LARGE,
                     NOT_CONFIGURED,
+                    CALL_CANCELLED,
                     CALLER_GONE -> false;
         };
     }
--- a/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/link/AcceptedLink.java
+++ b/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/link/AcceptedLink.java
@@ -61,8 +61,8 @@
             case Frame.Cancel f -> {
                 ServedCall call = findCall(f.callId());
                 if (call != null) {
-                    call.cancel(
-                            Failure.of(ErrorKind.CALLER_GONE, "Host " + peer() + " cancelled the call: " + f.reason()));
+                    call.cancel(Failure.of(
+                            ErrorKind.CALL_CANCELLED, "Host " + peer() + " cancelled the call: " + f.reason()));
                 }
             }
             case Frame.PeerRequest f -> TaskThreads.start("peer-request", () -> handleRequest(f));
--- a/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/link/IncomingCall.java
+++ b/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/link/IncomingCall.java
@@ -2,6 +2,7 @@
 
 import io.vavr.control.Either;
 import java.util.Optional;
+import java.util.function.Consumer;
 import org.sequoianotch.error.Failure;
 import org.sequoianotch.model.HostId;
 import org.sequoianotch.protocol.CallHeader;
@@ -75,7 +76,7 @@
      * Registers an action that runs once when the caller cancels the call or the link is lost; it runs at once if that
      * has already happened.
      *
-     * @param action the action, which must not block; not null
+     * @param action receives the reason, and must not block; not null
      */
-    void onCancel(Runnable action);
+    void onCancel(Consumer<Failure> action);
 }
--- a/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/link/OutgoingCall.java
+++ b/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/link/OutgoingCall.java
@@ -74,7 +74,7 @@
 
     @Override
     public void cancel(String reason) {
-        Failure failure = Failure.of(ErrorKind.CALLER_GONE, "The call was cancelled: " + reason);
+        Failure failure = Failure.of(ErrorKind.CALL_CANCELLED, "The call was cancelled: " + reason);
         if (end(failure)) {
             link.sendSmall(new Frame.Cancel(callId, Link.shorten(reason)));
         }
--- a/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/link/ServedCall.java
+++ b/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/link/ServedCall.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.jspecify.annotations.Nullable;
@@ -26,7 +27,7 @@
     private final SendWindow window = new SendWindow();
     private final BodyQueue body;
     private final Object lock = new Object();
-    private final List<Runnable> cancelActions = new ArrayList<>();
+    private final List<Consumer<Failure>> cancelActions = new ArrayList<>();
     private boolean responding;
     private boolean ended;
     private @Nullable Failure cancelled;
@@ -112,16 +113,18 @@
     }
 
     @Override
-    public void onCancel(Runnable action) {
+    public void onCancel(Consumer<Failure> action) {
+        Failure reason;
         synchronized (lock) {
-            if (cancelled == null) {
+            reason = cancelled;
+            if (reason == null) {
                 if (!ended) {
                     cancelActions.add(action);
                 }
                 return;
             }
         }
-        runSafely(action);
+        runSafely(action, reason);
     }
 
     void bodyPart(byte[] bytes) throws ProtocolViolationException {
@@ -138,7 +141,7 @@
 
     /** Ends the call after the caller cancelled it or the link was lost. */
     void cancel(Failure failure) {
-        List<Runnable> actions;
+        List<Consumer<Failure>> actions;
         synchronized (lock) {
             if (ended) {
                 return;
@@ -151,7 +154,7 @@
         link.remove(callId);
         body.discard(failure);
         window.close(failure);
-        actions.forEach(this::runSafely);
+        actions.forEach(action -> runSafely(action, failure));
     }
 
     boolean isOpen() {
@@ -178,9 +181,9 @@
         }
     }
 
-    private void runSafely(Runnable action) {
+    private void runSafely(Consumer<Failure> action, Failure reason) {
         try {
-            action.run();
+            action.accept(reason);
         } catch (RuntimeException e) {
             LOG.error("[peer] A cancel action of a call from {} for request {} failed", from(), header.requestId(), e);
         }
