Respond with 500 when the handler of a request fails

Callers saw: a defect that made the handler of a request throw, or return without a response, ended with a closed connection on every HTTP listener, and so did one while a sub-call ran on the backend listener.

Cause: ServerConnection left its loop on any exception, and BackendHandler aborted the exchange itself.

Change: as long as nothing of a response was sent, the caller gets 500 with the kind internal, and the connection serves the next request. BackendHandler runs sub-calls guarded, like the handlers of callers.

Result: HttpListenerTest.requestWhoseHandlerFailsGetsAResponseAndSoDoes- TheNextOne failed before in 2 of 2 rows and passes.

--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/BackendHandler.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/BackendHandler.java
@@ -7,8 +7,6 @@
 import java.io.IOException;
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
-import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.Logger;
 import org.sequoianotch.daemon.http.BufferedResponse;
 import org.sequoianotch.daemon.http.HttpExchange;
 import org.sequoianotch.daemon.http.HttpHandler;
@@ -29,7 +27,6 @@
  * <p>This class is thread-safe.
  */
 final class BackendHandler implements HttpHandler {
-    private static final Logger LOG = LogManager.getLogger(BackendHandler.class);
     private static final String ANNOUNCE_PATH = "/v1/announce";
     private static final int MAX_ANNOUNCEMENT_BYTES = 4_096;
     private static final int OK = 200;
@@ -78,14 +75,7 @@
                 .orElseGet(() -> newOrphanContext(exchange, ownDeadlineMs));
         exchange.onClose(() -> context.cancel(Cancellation.ofClosedConnection(exchange.isClosedByNode())));
         try {
-            runner.run(exchange, outbound, context);
-        } catch (RuntimeException e) {
-            LOG.error(
-                    "[call] Unexpected exception while running a sub-call of request {} to {}.",
-                    context.requestId(),
-                    outbound.service(),
-                    e);
-            exchange.abort();
+            runner.runGuarded(exchange, outbound, context);
         } finally {
             context.detach();
         }
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/ServerConnection.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/ServerConnection.java
@@ -114,10 +114,14 @@
     private boolean serve(HttpPart.RequestHead head) throws InterruptedException {
         HttpExchange exchange = new HttpExchange(this, head, options.idleTimeoutMs());
         clearCloseActions();
-        handler.handle(exchange);
+        try {
+            handler.handle(exchange);
+        } catch (RuntimeException e) {
+            LOG.error("[http] A request on the {} listener failed with an internal error.", options.name(), e);
+        }
         clearCloseActions();
         if (!exchange.isFinished()) {
-            throw new IllegalStateException("The handler did not respond to " + head.method() + " " + head.uri());
+            endUnfinished(exchange);
         }
         if (!exchange.isReusable()) {
             closeAfterLinger();
@@ -126,6 +130,17 @@
         return true;
     }
 
+    /** Responds for a handler that failed or did not respond, as long as nothing of a response was sent. */
+    private static void endUnfinished(HttpExchange exchange) throws InterruptedException {
+        if (exchange.isHeadSent()) {
+            exchange.abort();
+        } else {
+            exchange.respond(ProblemResponse.of(Failure.of(
+                    ErrorKind.INTERNAL,
+                    "The handler did not respond to " + exchange.method() + " " + exchange.uri() + ".")));
+        }
+    }
+
     private boolean rejectMalformed(String reason) throws InterruptedException {
         LOG.info("[http] Refused a malformed request on the {} listener: {}.", options.name(), reason);
         HttpExchange exchange = new HttpExchange(this, HttpExchange.MALFORMED_HEAD, options.idleTimeoutMs());
--- a/sequoianotch-daemon/src/test/java/org/sequoianotch/daemon/http/HttpListenerTest.java
+++ b/sequoianotch-daemon/src/test/java/org/sequoianotch/daemon/http/HttpListenerTest.java
@@ -20,6 +20,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.sequoianotch.error.Failure;
 
 /** Guards against invalid input that crashes the listener, gets no response or is accepted as a complete request. */
@@ -99,6 +100,24 @@
         assertThat(callerGone.await(10, TimeUnit.SECONDS)).isTrue();
     }
 
+    /** Guards against a handler that fails, whose caller would see the connection close without a response. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void requestWhoseHandlerFailsGetsAResponseAndSoDoesTheNextOne(boolean throwsException) throws Exception {
+        bind(exchange -> {
+            if (exchange.uri().equals("/next")) {
+                exchange.respond(BufferedResponse.ofText(200, "text/plain", "next"));
+            } else if (throwsException) {
+                throw new IllegalStateException("a defect");
+            }
+        });
+
+        String responses = send("GET /a HTTP/1.1\r\n\r\nGET /next HTTP/1.1\r\nConnection: close\r\n\r\n");
+
+        assertThat(responses).startsWith("HTTP/1.1 500");
+        assertThat(responses).endsWith("next");
+    }
+
     @Test
     void stopWaitsForTheRequestInFlight() throws Exception {
         CountDownLatch running = new CountDownLatch(1);
