Let no other thread hold a lock that tasks of the event loop wait for

Cause: the event loop carries the tasks. A task that logs while it holds the lock of the member table waits for the lock of the queue of log lines, which the writing thread holds; the event loop then waits for the member table, and the task can never go on.

Change: a log line takes no lock. Ruled out as a contender: the thread for file accesses, which shares no lock with the event loop.

--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/NonBlockingLogStream.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/NonBlockingLogStream.java
@@ -9,9 +9,12 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Instant;
 import java.time.temporal.ChronoUnit;
-import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.locks.LockSupport;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Output stream for log lines that never blocks the thread that logs.
@@ -19,6 +22,9 @@
  * <p>Lines get a timestamp and are queued; a thread of the stream writes them to the target. While the target blocks,
  * for example because no process reads standard output, lines that do not fit into the queue are dropped and counted.
  *
+ * <p>A line of a logger takes no lock. Tasks log while they hold locks that the event loop takes; if one of them had to
+ * wait for the writing thread and the event loop is its carrier, the event loop would wait for that task for ever.
+ *
  * <p>This class is thread-safe.
  */
 final class NonBlockingLogStream extends OutputStream {
@@ -31,10 +37,13 @@
     private static final long FLUSH_CHECK_MS = 5;
 
     private final OutputStream target;
-    private final ArrayBlockingQueue<byte[]> queue = new ArrayBlockingQueue<>(MAX_QUEUED_LINES);
+    private final ConcurrentLinkedQueue<byte[]> queue = new ConcurrentLinkedQueue<>();
+    private final AtomicInteger queuedLines = new AtomicInteger();
     private final AtomicLong dropped = new AtomicLong();
     private final ByteArrayOutputStream line = new ByteArrayOutputStream();
-    private volatile boolean writing;
+    private final Thread writer = Thread.ofPlatform().name("log").daemon(true).unstarted(this::writeLines);
+    private volatile boolean writerIdle;
+    private volatile boolean closed;
 
     private NonBlockingLogStream(OutputStream target) {
         this.target = target;
@@ -43,16 +52,41 @@
     /** Creates a stream that writes to standard output, and installs it as {@link System#out}. */
     static NonBlockingLogStream replaceStandardOutput() {
         NonBlockingLogStream stream = writingTo(new FileOutputStream(FileDescriptor.out));
-        System.setOut(new PrintStream(stream, true, StandardCharsets.UTF_8));
+        System.setOut(stream.toPrintStream());
         return stream;
     }
 
     static NonBlockingLogStream writingTo(OutputStream target) {
         NonBlockingLogStream stream = new NonBlockingLogStream(target);
-        Thread.ofPlatform().name("log").daemon(true).start(stream::writeLines);
+        stream.writer.start();
         return stream;
     }
 
+    /** Returns a print stream for a logger, which writes whole lines. */
+    PrintStream toPrintStream() {
+        return new LinePrintStream(this);
+    }
+
+    /** Passes lines on without the lock that a print stream takes for each of them. */
+    private static final class LinePrintStream extends PrintStream {
+        private final NonBlockingLogStream lines;
+
+        LinePrintStream(NonBlockingLogStream lines) {
+            super(lines, true, StandardCharsets.UTF_8);
+            this.lines = lines;
+        }
+
+        @Override
+        public void println(@Nullable String text) {
+            lines.enqueue((timestampText() + text + '\n').getBytes(StandardCharsets.UTF_8));
+        }
+
+        @Override
+        public void println(@Nullable Object object) {
+            println(String.valueOf(object));
+        }
+    }
+
     @Override
     public void write(int oneByte) {
         write(new byte[] {(byte) oneByte}, 0, 1);
@@ -82,30 +116,55 @@
     }
 
     private static byte[] timestamp() {
-        return (Instant.now().truncatedTo(ChronoUnit.MILLIS) + " ").getBytes(StandardCharsets.US_ASCII);
+        return timestampText().getBytes(StandardCharsets.US_ASCII);
+    }
+
+    private static String timestampText() {
+        return Instant.now().truncatedTo(ChronoUnit.MILLIS) + " ";
     }
 
     private void enqueueLine() {
-        if (!queue.offer(line.toByteArray())) {
+        enqueue(line.toByteArray());
+        line.reset();
+    }
+
+    private void enqueue(byte[] wholeLine) {
+        if (queuedLines.incrementAndGet() > MAX_QUEUED_LINES) {
+            queuedLines.decrementAndGet();
             dropped.incrementAndGet();
+            return;
+        }
+        queue.add(wholeLine);
+        if (writerIdle) {
+            LockSupport.unpark(writer);
         }
-        line.reset();
     }
 
     private void writeLines() {
         try {
             while (true) {
-                byte[] next = queue.take();
-                writing = true;
-                writeLine(next);
-                writing = !queue.isEmpty();
+                byte[] next = queue.poll();
+                if (next == null) {
+                    awaitLine();
+                } else {
+                    writeLine(next);
+                    queuedLines.decrementAndGet();
+                }
             }
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
         } catch (IOException e) {
-            // The log output is closed, so the failure cannot be logged.
-            writing = false;
+            // The log output is closed, so the failure cannot be logged, and later lines are dropped.
+            queuedLines.set(MAX_QUEUED_LINES);
+            closed = true;
+        }
+    }
+
+    private void awaitLine() {
+        writerIdle = true;
+        // A line that was added before the flag was set has not woken this thread.
+        if (queue.isEmpty()) {
+            LockSupport.park();
         }
+        writerIdle = false;
     }
 
     private void writeLine(byte[] next) throws IOException {
@@ -122,7 +181,7 @@
     /** Waits until all queued lines are written, for at most {@link #FLUSH_TIMEOUT_MS}. */
     void awaitWritten() throws InterruptedException {
         long endNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(FLUSH_TIMEOUT_MS);
-        while ((writing || !queue.isEmpty()) && System.nanoTime() < endNs) {
+        while (!closed && queuedLines.get() > 0 && System.nanoTime() < endNs) {
             Thread.sleep(FLUSH_CHECK_MS);
         }
     }
--- a/sequoianotch-daemon/src/test/java/org/sequoianotch/daemon/NonBlockingLogStreamTest.java
+++ b/sequoianotch-daemon/src/test/java/org/sequoianotch/daemon/NonBlockingLogStreamTest.java
@@ -4,7 +4,14 @@
 
 import java.io.ByteArrayOutputStream;
 import java.io.OutputStream;
+import java.io.PrintStream;
+import java.lang.management.ManagementFactory;
+import java.lang.management.ThreadInfo;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.Test;
 
@@ -28,6 +35,46 @@
         assertThat(written[1]).endsWith("Z INFO two");
     }
 
+    /**
+     * Guards against a thread that waits for a lock while it logs. A task did so while it held a lock of the event loop
+     * that carried it, and the process hung for good.
+     */
+    @Test
+    void threadsThatLogAtTheSameTimeNeverWait() throws InterruptedException {
+        PrintStream log =
+                NonBlockingLogStream.writingTo(OutputStream.nullOutputStream()).toPrintStream();
+        Map<String, Long> waits = new ConcurrentHashMap<>();
+        List<Thread> threads = new ArrayList<>();
+        for (int i = 0; i < 4; i++) {
+            threads.add(Thread.ofPlatform().name("logger-" + i).unstarted(() -> {
+                long before = waitsOfCurrentThread();
+                printLines(log, 50_000);
+                waits.put(Thread.currentThread().getName(), waitsOfCurrentThread() - before);
+            }));
+        }
+        // Loads the classes, for which threads wait once.
+        printLines(log, 1_000);
+        waitsOfCurrentThread();
+        threads.forEach(Thread::start);
+        for (Thread thread : threads) {
+            thread.join();
+        }
+
+        assertThat(waits).containsExactly("logger-0", 0L, "logger-1", 0L, "logger-2", 0L, "logger-3", 0L);
+    }
+
+    private static void printLines(PrintStream log, int count) {
+        for (int line = 0; line < count; line++) {
+            log.println("INFO line " + line);
+        }
+    }
+
+    private static long waitsOfCurrentThread() {
+        ThreadInfo info = ManagementFactory.getThreadMXBean()
+                .getThreadInfo(Thread.currentThread().threadId());
+        return info.getBlockedCount() + info.getWaitedCount();
+    }
+
     @Test
     void blockedTargetDropsAndCountsLines() throws InterruptedException {
         CountDownLatch release = new CountDownLatch(1);
