--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/InstanceRegistry.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/InstanceRegistry.java
@@ -18,7 +18,7 @@
  * <p>Heartbeats may arrive late or out of order. One that is older than the latest known is ignored, so that it cannot
  * restore an instance that has announced its end or was replaced by a later incarnation. This also holds for an
  * instance that announces its end before its first heartbeat, as after a restart of this process, and for departures
- * that other hosts have recorded before a restart.
+ * that the control group or a neighbour has recorded before a restart.
  *
  * <p>This class is thread-safe.
  */
