Simplify what was added for departures and cancellations

Cause: reading the change again showed the same logic written twice.

Change: ControlGroup decides in one place whether a request may be forwarded to the leader, for reads, too. DepartureRecords.put uses includes, DepartureLog the Step of TaskThreads, and the three handlers of requests RequestContext.cancelWhenClosed. Behaviour and assertions are the same.

--- a/sequoianotch-control/src/main/java/org/sequoianotch/control/ControlGroup.java
+++ b/sequoianotch-control/src/main/java/org/sequoianotch/control/ControlGroup.java
@@ -349,15 +349,7 @@
         });
     }
 
-    /** Records a departure at the leader; a departure that is already recorded needs no entry. */
-    private Either<Failure, byte[]> recordDeparture(HostId host, Departure departure, boolean mayForward) {
-        return mayForward
-                ? runAtLeader(
-                        () -> recordDepartureHere(host, departure),
-                        new ControlRequest.RecordDeparture(false, host, departure))
-                : recordDepartureHere(host, departure);
-    }
-
+    /** Records a departure as the leader; a departure that is already recorded needs no entry. */
     private Either<Failure, byte[]> recordDepartureHere(HostId host, Departure departure) {
         DepartureRecords departures = replicated.departures();
         return ProposalResults.await(
@@ -369,13 +361,7 @@
                 options.changeTimeoutMs());
     }
 
-    /** Reads the departures at the leader, with every one that was acknowledged before the call. */
-    private Either<Failure, byte[]> readDepartures(HostId host, boolean mayForward) {
-        return mayForward
-                ? runAtLeader(() -> readDeparturesHere(host), new ControlRequest.ReadDepartures(false, host))
-                : readDeparturesHere(host);
-    }
-
+    /** Reads the departures as the leader, with every one that was acknowledged before the call. */
     private Either<Failure, byte[]> readDeparturesHere(HostId host) {
         return raft().readConfirmed(() -> replicated.departures().of(host), options.changeTimeoutMs())
                 .map(Departure::encodeAll);
@@ -400,6 +386,11 @@
         Either<Failure, byte[]> get();
     }
 
+    /** Runs an operation at the leader, or only here if the request was forwarded to this member as the leader. */
+    private Either<Failure, byte[]> run(boolean mayForward, LocalOperation local, ControlRequest forwarded) {
+        return mayForward ? runAtLeader(local, forwarded) : local.get();
+    }
+
     /** Runs an operation here if this member leads, or at the leader; retries until the timeout while there is none. */
     private Either<Failure, byte[]> runAtLeader(LocalOperation local, ControlRequest forwarded) {
         double endMs = clock.monotonicMs() + options.changeTimeoutMs();
@@ -537,17 +528,25 @@
                     admission().helloResponse().toBytes());
             case ControlRequest.Join r -> admission().handleJoin(from, r);
             case ControlRequest.Change r -> r.mayForward() ? applyAtLeader(r.request()) : applyHere(r.request());
-            case ControlRequest.Read r -> r.mayForward()
-                    ? runAtLeader(this::readHere, new ControlRequest.Read(false))
-                    : readHere();
+            case ControlRequest.Read r -> run(r.mayForward(), this::readHere, new ControlRequest.Read(false));
             case ControlRequest.Fetch r -> Either.right(fetch(r).toBytes());
             case ControlRequest.AddMember r -> admission().addMember(r.host(), r.address());
             case ControlRequest.RemoveMember r -> admission().removeMember(r.host());
             case ControlRequest.Leave r -> admission().handleLeave(r);
             case ControlRequest.RecordDeparture r -> handleDepartureRequest(
-                    from, r.host(), () -> recordDeparture(r.host(), r.departure(), r.mayForward()));
+                    from,
+                    r.host(),
+                    () -> run(
+                            r.mayForward(),
+                            () -> recordDepartureHere(r.host(), r.departure()),
+                            new ControlRequest.RecordDeparture(false, r.host(), r.departure())));
             case ControlRequest.ReadDepartures r -> handleDepartureRequest(
-                    from, r.host(), () -> readDepartures(r.host(), r.mayForward()));
+                    from,
+                    r.host(),
+                    () -> run(
+                            r.mayForward(),
+                            () -> readDeparturesHere(r.host()),
+                            new ControlRequest.ReadDepartures(false, r.host())));
         };
     }
 
--- a/sequoianotch-control/src/main/java/org/sequoianotch/control/state/DepartureRecords.java
+++ b/sequoianotch-control/src/main/java/org/sequoianotch/control/state/DepartureRecords.java
@@ -52,11 +52,10 @@
     }
 
     private void put(HostId host, Departure departure) {
-        Key key = new Key(host, departure.instanceId());
-        Departure recorded = records.get(key);
-        if (recorded != null && !departure.supersedes(recorded)) {
+        if (includes(host, departure)) {
             return;
         }
+        Key key = new Key(host, departure.instanceId());
         records.remove(key);
         records.put(key, departure);
         if (records.size() > MAX_RECORDS) {
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/BackendHandler.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/BackendHandler.java
@@ -73,7 +73,7 @@
         double ownDeadlineMs = clock.monotonicMs() + timeoutMs;
         RequestContext context = parent.map(call -> call.newSubCall(ownDeadlineMs))
                 .orElseGet(() -> newOrphanContext(exchange, ownDeadlineMs));
-        exchange.onClose(() -> context.cancel(Cancellation.ofClosedConnection(exchange.isClosedByNode())));
+        context.cancelWhenClosed(exchange);
         try {
             runner.runGuarded(exchange, outbound, context);
         } finally {
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/CallerHandler.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/CallerHandler.java
@@ -111,7 +111,7 @@
                                 CancelCause.TIME_LIMIT_PASSED, "The deadline of " + timeoutMs + " ms passed.")),
                         timeoutMs,
                         TimeUnit.MILLISECONDS);
-        exchange.onClose(() -> context.cancel(Cancellation.ofClosedConnection(exchange.isClosedByNode())));
+        context.cancelWhenClosed(exchange);
         RunResult result = runner.runGuarded(exchange, outbound, context);
         deadline.cancel();
         recorder.recordEnd(new RequestSummary(
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/RequestContext.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/RequestContext.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
+import org.sequoianotch.daemon.http.HttpExchange;
 import org.sequoianotch.model.Criticality;
 import org.sequoianotch.model.LoadReport;
 import org.sequoianotch.model.RequestId;
@@ -278,6 +279,11 @@
         actions.forEach(Runnable::run);
     }
 
+    /** Cancels the request when its connection is closed, by its caller or by this node. */
+    void cancelWhenClosed(HttpExchange exchange) {
+        exchange.onClose(() -> cancel(Cancellation.ofClosedConnection(exchange.isClosedByNode())));
+    }
+
     /**
      * Tells whether and why the request was cancelled.
      *
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/RouteHandler.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/RouteHandler.java
@@ -137,7 +137,7 @@
                         CancelCause.TIME_LIMIT_PASSED, "The time limit of " + timeoutMs + " ms passed.")),
                 timeoutMs,
                 TimeUnit.MILLISECONDS);
-        exchange.onClose(() -> context.cancel(Cancellation.ofClosedConnection(exchange.isClosedByNode())));
+        context.cancelWhenClosed(exchange);
         openRequests.add(context);
         RunResult result;
         try {
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/departure/DepartureLog.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/departure/DepartureLog.java
@@ -89,11 +89,7 @@
         TaskThreads.start("departure-doubt", () -> runUntilInterrupted(() -> endDoubt(onRecovered)));
     }
 
-    private interface Step {
-        void run() throws InterruptedException;
-    }
-
-    private static void runUntilInterrupted(Step step) {
+    private static void runUntilInterrupted(TaskThreads.Step step) {
         try {
             step.run();
         } catch (InterruptedException e) {
