Log and count what instances say about their rate and their leaving

Cause: an instance names the rate that it takes, and that it is leaving, in the headers of its responses.

Change: the platform's codec reads both headers into an InstanceStatement; a rate that cannot be read is reported once and changes nothing. The node beside the instance logs each change with the request whose response named it. Metrics have the named rate, and the number of requests sent to the instances. Statements are applied in the order in which the heads of the responses arrived. No decision depends on them yet.

--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/InstanceServer.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/InstanceServer.java
@@ -271,6 +271,7 @@
     }
 
     private void recordSent(RequestContext context, CallHeader header, LocalInstance instance, Permit permit) {
+        instances.countSentRequest();
         LoadReport load = instance.admission().load();
         recorder.record(
                 context.requestId(),
@@ -306,13 +307,17 @@
                         + head.get().status() + " is invalid and was not forwarded.";
                 return Either.left(Failure.of(ErrorKind.BACKEND_CUT_ANSWER, detail));
             }
+            boolean mayBeCopy = info.notExecuted() && !info.namesCall() && connection.hasRefusedAny();
+            if (info.belongsToCall() && !mayBeCopy && info.statement() != null) {
+                instance.notice().onResponse(info.statement(), context.requestId(), connection.headReceivedAtMs());
+            }
             if (info.belongsToCall() && !info.notExecuted()) {
                 if (info.maxIdleMs() > 0) {
                     connection.setMaxIdleMs(info.maxIdleMs());
                 }
                 return forwardResponse(call, context, instance, connection, head.get());
             }
-            if (info.belongsToCall() && !info.namesCall() && connection.hasRefusedAny()) {
+            if (info.belongsToCall() && mayBeCopy) {
                 String detail = "The instance sent a refusal that names no request, and that may be a copy of an"
                         + " earlier one on the same connection.";
                 return Either.left(Failure.of(ErrorKind.BACKEND_CUT_ANSWER, detail));
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/LocalInstance.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/LocalInstance.java
@@ -21,6 +21,7 @@
  * @param startedAtMs time of the first announcement, in milliseconds since the Unix epoch
  * @param rule limits that the admission was created with; not null
  * @param admission admission control of calls; not null
+ * @param notice what the instance says about itself; not null
  * @param client connections to the backend server; not null
  */
 record LocalInstance(
@@ -34,6 +35,7 @@
         long startedAtMs,
         ServiceRule rule,
         AdmissionControl admission,
+        LocalNotice notice,
         BackendClient client) {
     LocalInstance withLease(BackendState newState, double newAcceptsUntilMs, double newLeaseUntilMs) {
         return new LocalInstance(
@@ -47,6 +49,7 @@
                 startedAtMs,
                 rule,
                 admission,
+                notice,
                 client);
     }
 
@@ -62,6 +65,7 @@
                 startedAtMs,
                 newRule,
                 newAdmission,
+                notice,
                 client);
     }
 
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/LocalInstances.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/LocalInstances.java
@@ -4,10 +4,12 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.LongAdder;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import org.apache.logging.log4j.LogManager;
@@ -44,6 +46,7 @@
     private final BackendOptions backendOptions;
     private final Map<ServiceName, LocalInstance> instances = new ConcurrentHashMap<>();
     private volatile Consumer<List<Instance>> onChange = changed -> {};
+    private final LongAdder requestsSent = new LongAdder();
     private volatile boolean draining;
 
     /**
@@ -185,6 +188,7 @@
                 clock.nowMs(),
                 rule,
                 mode.newAdmission(rule, announcement.slots(), clock),
+                new LocalNotice(announcement.instanceId() + " of " + announcement.service(), clock),
                 client);
     }
 
@@ -248,6 +252,36 @@
                 .map(instance -> instance.admission().load());
     }
 
+    /** Counts a request that was sent to an instance. */
+    void countSentRequest() {
+        requestsSent.increment();
+    }
+
+    /**
+     * Returns the number of requests that were sent to instances on this host.
+     *
+     * @return the number; not negative
+     */
+    public long sentRequests() {
+        return requestsSent.sum();
+    }
+
+    /**
+     * Returns the requests per second that instances take, of those that name a rate in their responses.
+     *
+     * @return the rate by name of the service, never null, may be empty
+     */
+    public Map<String, Double> namedRates() {
+        Map<String, Double> rates = new HashMap<>();
+        instances.forEach((service, instance) -> {
+            double maxRequestsPerS = instance.notice().maxRequestsPerS();
+            if (maxRequestsPerS != InstanceStatement.UNLIMITED) {
+                rates.put(service.name(), maxRequestsPerS);
+            }
+        });
+        return rates;
+    }
+
     /**
      * Returns the instances as other nodes should see them.
      *
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/BackendClient.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/BackendClient.java
@@ -119,7 +119,8 @@
                 Objects.requireNonNull(channel.attr(PEER_CLOSE).get(), "PEER_CLOSE");
         channel.pipeline()
                 .addFirst(connection.idleGuard())
-                .addLast(new HttpPartDecoder(queue, writer, () -> removeFromPool(connection), peerClose::isCut));
+                .addLast(new HttpPartDecoder(
+                        queue, writer, () -> removeFromPool(connection), peerClose::isCut, clock::monotonicMs));
         if (!channel.isActive()) {
             queue.put(new HttpPart.Closed("the connection was closed immediately after it was opened"));
         }
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/BackendConnection.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/BackendConnection.java
@@ -48,6 +48,7 @@
     private boolean requestComplete;
     private boolean headRequest;
     private boolean reused;
+    private double headReceivedAtMs;
     /** The requests that the backend server refused on this connection; it may send a refusal a second time. */
     private final Set<RequestId> refusedRequests = new HashSet<>();
     /** Whether the connection is in the pool, so that no response can be due on it. */
@@ -265,6 +266,7 @@
         return switch (part.get()) {
             case HttpPart.ResponseHead head -> {
                 reusable = head.keepAlive();
+                headReceivedAtMs = head.receivedAtMs();
                 yield requireDelimitedBody(head);
             }
             case HttpPart.Malformed malformed -> Either.left(Failure.of(
@@ -275,6 +277,16 @@
         };
     }
 
+    /**
+     * Returns when the head arrived that {@link #awaitResponse} returned last. The call may have been busy with the
+     * request body then.
+     *
+     * @return the time on the monotonic clock, in milliseconds
+     */
+    public double headReceivedAtMs() {
+        return headReceivedAtMs;
+    }
+
     /** Rejects a body that only the end of the connection delimits: it cannot be distinguished from a truncated one. */
     private Either<Failure, ResponseHeader> requireDelimitedBody(HttpPart.ResponseHead head) {
         if (!head.isDelimited() && !headRequest && !acceptsCloseDelimitedBody) {
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/HttpPart.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/HttpPart.java
@@ -27,9 +27,16 @@
 
     /**
      * Head of a response. A negative {@code bodyBytes} stands for a body of unknown length. {@code isDelimited} is true
-     * if Content-Length, chunked encoding or the status shows where the body ends.
+     * if Content-Length, chunked encoding or the status shows where the body ends. {@code receivedAtMs} is the time at
+     * which the head arrived, on the monotonic clock.
      */
-    record ResponseHead(int status, List<HeaderField> headers, boolean keepAlive, long bodyBytes, boolean isDelimited)
+    record ResponseHead(
+            int status,
+            List<HeaderField> headers,
+            boolean keepAlive,
+            long bodyBytes,
+            boolean isDelimited,
+            double receivedAtMs)
             implements HttpPart {}
 
     /** A part of a body. */
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/HttpPartDecoder.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/http/HttpPartDecoder.java
@@ -19,6 +19,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.BooleanSupplier;
+import java.util.function.DoubleSupplier;
 import org.sequoianotch.protocol.HeaderField;
 
 /** Converts Netty's HTTP objects to {@link HttpPart}s and adds them to the queue of the connection. */
@@ -32,13 +33,14 @@
     private final ChannelWriter writer;
     private final Runnable onClosed;
     private final BooleanSupplier isCut;
+    private final DoubleSupplier nowMs;
     private boolean malformed;
     private boolean informational;
     private int informationalResponses;
 
     /** Creates a decoder of requests; each shows where it ends. */
     HttpPartDecoder(InboundQueue queue, ChannelWriter writer, Runnable onClosed) {
-        this(queue, writer, onClosed, () -> false);
+        this(queue, writer, onClosed, () -> false, () -> 0);
     }
 
     /**
@@ -48,12 +50,15 @@
      * @param writer notified when the channel accepts more data; not null
      * @param onClosed run when the channel is closed; not null
      * @param isCut whether the channel has ended, but not by an orderly close of the peer; not null
+     * @param nowMs returns the monotonic time in milliseconds, for the heads of responses; not null
      */
-    HttpPartDecoder(InboundQueue queue, ChannelWriter writer, Runnable onClosed, BooleanSupplier isCut) {
+    HttpPartDecoder(
+            InboundQueue queue, ChannelWriter writer, Runnable onClosed, BooleanSupplier isCut, DoubleSupplier nowMs) {
         this.queue = queue;
         this.writer = writer;
         this.onClosed = onClosed;
         this.isCut = isCut;
+        this.nowMs = nowMs;
     }
 
     @Override
@@ -110,7 +115,7 @@
                 boolean isDelimited = chunked || bodyBytes >= 0 || HeaderFields.isBodyless(status);
                 boolean keepAlive = HttpUtil.isKeepAlive(message) && isDelimited;
                 queue.put(new HttpPart.ResponseHead(
-                        status, fields(message.headers()), keepAlive, bodyBytes, isDelimited));
+                        status, fields(message.headers()), keepAlive, bodyBytes, isDelimited, nowMs.getAsDouble()));
             }
         }
     }
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/metrics/ComponentMetrics.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/metrics/ComponentMetrics.java
@@ -4,6 +4,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.function.IntSupplier;
+import org.sequoianotch.daemon.call.LocalInstances;
 import org.sequoianotch.daemon.ledger.LedgerCounters;
 import org.sequoianotch.membership.MemberState;
 import org.sequoianotch.membership.Membership;
@@ -31,6 +32,24 @@
         metrics.gauge("sequoianotch_open_peer_calls", "Calls from other nodes in progress.", openPeerCalls::getAsInt);
     }
 
+    /**
+     * Adds the counter of requests to the instances on this host, and the rates that the instances name.
+     *
+     * @param metrics the metrics; not null
+     * @param instances the instances; not null
+     */
+    public static void addInstances(NodeMetrics metrics, LocalInstances instances) {
+        metrics.counter(
+                "sequoianotch_instance_requests_total",
+                "Requests sent to the instances of this host.",
+                instances::sentRequests);
+        metrics.gauge(
+                "sequoianotch_instance_named_requests_per_second",
+                "Requests per second that an instance of this host takes, if it names a rate.",
+                "service",
+                instances::namedRates);
+    }
+
     /**
      * Adds the counters of the links to other hosts.
      *
