--- a/sequoianotch-core/src/main/java/org/sequoianotch/model/LoadReport.java
+++ b/sequoianotch-core/src/main/java/org/sequoianotch/model/LoadReport.java
@@ -16,8 +16,11 @@
  *     downstream services
  * @param instanceLevel admission level of the instance alone, without its downstream services, which affect other
  *     instances of the service as well; at least {@code admissionLevel} and at most 3
+ * @param maxRequestsPerS requests per second that the instance takes from all nodes together; not negative,
+ *     {@link InstanceNotice#UNLIMITED} if it names no rate
  */
-public record LoadReport(int inFlight, int limit, int queued, double admissionLevel, double instanceLevel) {
+public record LoadReport(
+        int inFlight, int limit, int queued, double admissionLevel, double instanceLevel, double maxRequestsPerS) {
     /** Admission level at which every request is admitted. */
     public static final double ADMIT_ALL = Criticality.values().length;
 
@@ -32,10 +35,27 @@
                     + instanceLevel + ", but must be from 0 to " + ADMIT_ALL
                     + ", and instanceLevel must not be the lower one");
         }
+        if (!(maxRequestsPerS >= 0)) {
+            throw new IllegalArgumentException(
+                    "maxRequestsPerS is " + maxRequestsPerS + ", but must be a number that is not negative");
+        }
+    }
+
+    /**
+     * Creates the report of an instance that names no rate.
+     *
+     * @param inFlight calls that the backend server is running; not negative
+     * @param limit largest number of calls that may run at the backend server concurrently; at least 1
+     * @param queued calls waiting in the node's queue; not negative
+     * @param admissionLevel from 0 (no requests) to 3 (all requests)
+     * @param instanceLevel admission level of the instance alone; at least {@code admissionLevel} and at most 3
+     */
+    public LoadReport(int inFlight, int limit, int queued, double admissionLevel, double instanceLevel) {
+        this(inFlight, limit, queued, admissionLevel, instanceLevel, InstanceNotice.UNLIMITED);
     }
 
     /**
-     * Creates the report of an instance without downstream services.
+     * Creates the report of an instance without downstream services that names no rate.
      *
      * @param inFlight calls that the backend server is running; not negative
      * @param limit largest number of calls that may run at the backend server concurrently; at least 1
@@ -46,6 +66,16 @@
         this(inFlight, limit, queued, admissionLevel, admissionLevel);
     }
 
+    /**
+     * Returns whether the instance names the requests per second that it takes. Its level then says nothing about
+     * other instances of its service.
+     *
+     * @return true if it names a rate
+     */
+    public boolean isRateLimited() {
+        return maxRequestsPerS != InstanceNotice.UNLIMITED;
+    }
+
     /**
      * Returns the fraction of the requests of a criticality that the instance and its downstream services admit.
      *
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/Announcement.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/Announcement.java
@@ -15,8 +15,10 @@
  * @param state state of the backend server; not null
  * @param instanceId id that distinguishes the process from earlier and later ones at the same address, or empty if it
  *     has none; not null
+ * @param incarnation number that differs between the incarnations of instances on one host, or zero if it has none
  */
-public record Announcement(ServiceName service, int port, int slots, BackendState state, String instanceId) {
+public record Announcement(
+        ServiceName service, int port, int slots, BackendState state, String instanceId, long incarnation) {
     private static final int MAX_PORT = 65_535;
     private static final int MAX_SLOTS = 100_000;
 
@@ -47,6 +49,6 @@
      * @throws IllegalArgumentException if the port or the slots are out of range
      */
     public Announcement(ServiceName service, int port, int slots, BackendState state) {
-        this(service, port, slots, state, "");
+        this(service, port, slots, state, "", 0);
     }
 }
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/AttemptRunner.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/AttemptRunner.java
@@ -35,6 +35,7 @@
     private final ServicePolicies policies;
     private final RequestRecorder recorder;
     private final Clock clock;
+    private final RememberedNotices notices = new RememberedNotices();
 
     AttemptRunner(
             NodeLocation location,
@@ -97,7 +98,8 @@
                 context.allowance().takeShare(),
                 context.depth(),
                 outbound.key(),
-                outbound.bodyBytes());
+                outbound.bodyBytes(),
+                notices.find(instance.host(), outbound.service()));
         Either<Failure, PeerCall> opened = instance.host().equals(location.host())
                 ? Either.right(LocalCall.open(header, location.host(), localHandler))
                 : network.open(instance.peerAddress(), header);
@@ -118,6 +120,7 @@
         if (head.isLeft()) {
             return Either.left(head.getLeft());
         }
+        notices.store(instance.host(), instance.service(), head.get().notice());
         IncomingResponse response = new IncomingResponse(instance, call, head.get());
         return response.fillBuffer(time).map(filled -> response);
     }
@@ -149,6 +152,7 @@
         call.trailer().ifPresent(trailer -> {
             context.allowance().giveBack(trailer.returnedRetries());
             context.recordLoad(trailer.load());
+            notices.store(instance.host(), instance.service(), trailer.notice());
             policies.gate(outbound.limits(), outbound.route()).observe(instance.host(), trailer.load());
         });
     }
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/CallForwarder.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/CallForwarder.java
@@ -15,6 +15,7 @@
 import org.sequoianotch.model.Instance;
 import org.sequoianotch.policy.retry.FailedAttempt;
 import org.sequoianotch.policy.routing.RoutingRequest;
+import org.sequoianotch.protocol.ResponseTrailer;
 import org.sequoianotch.time.Clock;
 
 /**
@@ -160,7 +161,8 @@
                 && response.get()
                         .call()
                         .trailer()
-                        .filter(trailer -> trailer.load().admittedFraction(criticality) < 1)
+                        .map(ResponseTrailer::load)
+                        .filter(load -> !load.isRateLimited() && load.admittedFraction(criticality) < 1)
                         .isPresent();
     }
 
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/InstanceHeartbeat.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/InstanceHeartbeat.java
@@ -37,4 +37,13 @@
             throw new IllegalArgumentException("instanceId is empty, but must not be");
         }
     }
+
+    /**
+     * Returns a number for the incarnation. Two incarnations on one host have different start times or ids.
+     *
+     * @return the number, which is the same in each process
+     */
+    public long incarnation() {
+        return 31 * startedAtMs + instanceId.hashCode();
+    }
 }
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/InstanceRegistry.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/InstanceRegistry.java
@@ -65,7 +65,12 @@
      */
     public synchronized boolean recordHeartbeat(InstanceHeartbeat heartbeat) {
         Announcement announcement = new Announcement(
-                heartbeat.service(), heartbeat.port(), heartbeat.slots(), heartbeat.state(), heartbeat.instanceId());
+                heartbeat.service(),
+                heartbeat.port(),
+                heartbeat.slots(),
+                heartbeat.state(),
+                heartbeat.instanceId(),
+                heartbeat.incarnation());
         if (hasDeparted(heartbeat)) {
             LOG.info(
                     "[member] Ignored heartbeat {} of instance {} started at {}, which has left or is leaving.",
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/InstanceServer.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/InstanceServer.java
@@ -7,12 +7,14 @@
 import java.util.concurrent.TimeUnit;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.jspecify.annotations.Nullable;
 import org.sequoianotch.daemon.explain.EventKind;
 import org.sequoianotch.daemon.explain.RequestRecorder;
 import org.sequoianotch.daemon.http.BackendConnection;
 import org.sequoianotch.daemon.http.HeaderFields;
 import org.sequoianotch.error.ErrorKind;
 import org.sequoianotch.error.Failure;
+import org.sequoianotch.model.InstanceNotice;
 import org.sequoianotch.model.LoadReport;
 import org.sequoianotch.policy.admission.AdmissionRequest;
 import org.sequoianotch.policy.admission.CallResult;
@@ -103,7 +105,7 @@
                     header.requestId(),
                     header.service(),
                     e);
-            refuse(call, context, Failure.of(ErrorKind.INTERNAL, e.toString()), NO_LOAD);
+            refuse(call, context, Failure.of(ErrorKind.INTERNAL, e.toString()), null);
         } finally {
             deadline.cancel();
         }
@@ -119,15 +121,15 @@
         LocalInstance instance = instances.find(call.header().service());
         if (instance == null) {
             String detail = "There is no instance of " + call.header().service() + " on this host.";
-            refuse(call, context, Failure.of(ErrorKind.NO_INSTANCE, detail), NO_LOAD);
+            refuse(call, context, Failure.of(ErrorKind.NO_INSTANCE, detail), null);
             return;
         }
+        InstanceNotice remembered = call.header().notice();
+        if (remembered != null) {
+            instance.notice().onRemembered(remembered, call.from());
+        }
         if (instances.isDraining() || !instance.accepts(clock.monotonicMs())) {
-            refuse(
-                    call,
-                    context,
-                    drainingFailure(call.header()),
-                    instance.admission().load());
+            refuse(call, context, drainingFailure(call.header()), instance);
             return;
         }
         PendingAdmission pending = instance.admission()
@@ -142,7 +144,7 @@
         Either<Failure, Permit> admitted = pending.await();
         context.removeCancelAction(leaveQueue);
         if (admitted.isLeft()) {
-            refuse(call, context, admitted.getLeft(), instance.admission().load());
+            refuse(call, context, admitted.getLeft(), instance);
             return;
         }
         serve(call, context, instance, admitted.get());
@@ -157,7 +159,7 @@
             Either<Failure, BackendConnection> started = start(call, context, instance, permit);
             if (started.isLeft()) {
                 result = resultOf(Either.left(started.getLeft()), context);
-                refuse(call, context, started.getLeft(), instance.admission().load());
+                refuse(call, context, started.getLeft(), instance);
                 return;
             }
             BackendConnection connection = started.get();
@@ -172,11 +174,7 @@
                 } else {
                     connection.close();
                 }
-                refuse(
-                        call,
-                        context,
-                        withCancellation(status.getLeft(), context),
-                        instance.admission().load());
+                refuse(call, context, withCancellation(status.getLeft(), context), instance);
             } else {
                 connection.release();
             }
@@ -411,8 +409,11 @@
             LocalInstance instance,
             BackendConnection connection,
             ResponseHeader head) {
-        ResponseHeader forwardedHead =
-                new ResponseHeader(head.status(), HeaderFields.endToEnd(head.headers()), head.bodyBytes());
+        ResponseHeader forwardedHead = new ResponseHeader(
+                head.status(),
+                HeaderFields.endToEnd(head.headers()),
+                head.bodyBytes(),
+                instance.notice().current());
         Either<Failure, Void> written = call.startResponse(forwardedHead);
         try {
             while (written.isRight()) {
@@ -437,11 +438,13 @@
                 EventKind.ANSWERED,
                 () -> "The backend server of " + call.header().service() + " responded with status " + head.status()
                         + ".");
-        call.endResponse(trailer(context, instance.admission().load()));
+        call.endResponse(
+                trailer(context, instance.admission().load(), instance.notice().current()));
         return Either.right(head.status());
     }
 
-    private void refuse(IncomingCall call, RequestContext context, Failure failure, LoadReport load) {
+    private void refuse(IncomingCall call, RequestContext context, Failure failure, @Nullable LocalInstance instance) {
+        LoadReport load = instance == null ? NO_LOAD : instance.admission().load();
         EventKind kind = failure.provesNotRun() ? EventKind.REFUSED : EventKind.FAILED;
         recorder.record(
                 context.requestId(),
@@ -454,11 +457,12 @@
                         load.inFlight(),
                         load.limit(),
                         load.queued()));
-        call.refuse(failure, trailer(context, load));
+        InstanceNotice notice = instance == null ? null : instance.notice().current();
+        call.refuse(failure, trailer(context, load, notice));
     }
 
-    private static ResponseTrailer trailer(RequestContext context, LoadReport load) {
-        return new ResponseTrailer(context.allowance().close(), context.combine(load));
+    private static ResponseTrailer trailer(RequestContext context, LoadReport load, @Nullable InstanceNotice notice) {
+        return new ResponseTrailer(context.allowance().close(), context.combine(load), notice);
     }
 
     private long remainingMs(RequestContext context) {
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/InstanceStatement.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/InstanceStatement.java
@@ -3,6 +3,7 @@
 import java.util.Objects;
 import java.util.OptionalDouble;
 import org.jspecify.annotations.Nullable;
+import org.sequoianotch.model.InstanceNotice;
 
 /**
  * What an instance says about itself in one response.
@@ -10,17 +11,15 @@
  * <p>This type is immutable.
  *
  * @param maxRequestsPerS requests per second that the instance takes from all nodes together; not negative,
- *     {@link #UNLIMITED} if the response names no rate; empty if the rate cannot be read, which leaves the
- *     one in force unchanged; not null
+ *     {@link InstanceNotice#UNLIMITED} if the response names no rate; empty if the rate cannot be read, which leaves
+ *     the one in force unchanged; not null
  * @param leaving whether the response says that the instance is leaving
  * @param problem why a part of the statement cannot be read, or null if all of it was read
  */
 public record InstanceStatement(OptionalDouble maxRequestsPerS, boolean leaving, @Nullable String problem) {
-    /** Value of {@code maxRequestsPerS} for a response that names no rate. */
-    public static final double UNLIMITED = Double.POSITIVE_INFINITY;
-
     /** A response in which the instance says nothing about itself. */
-    public static final InstanceStatement NONE = new InstanceStatement(OptionalDouble.of(UNLIMITED), false, null);
+    public static final InstanceStatement NONE =
+            new InstanceStatement(OptionalDouble.of(InstanceNotice.UNLIMITED), false, null);
 
     /**
      * Checks the rate.
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/LocalInstances.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/LocalInstances.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.LongAdder;
 import java.util.function.Consumer;
 import java.util.function.Function;
@@ -19,9 +20,11 @@
 import org.sequoianotch.membership.Membership;
 import org.sequoianotch.model.BackendState;
 import org.sequoianotch.model.Instance;
+import org.sequoianotch.model.InstanceNotice;
 import org.sequoianotch.model.LoadReport;
 import org.sequoianotch.model.ServiceName;
 import org.sequoianotch.policy.PolicyMode;
+import org.sequoianotch.policy.admission.RequestRateLimit;
 import org.sequoianotch.template.ServiceRule;
 import org.sequoianotch.time.Clock;
 
@@ -47,6 +50,8 @@
     private final Map<ServiceName, LocalInstance> instances = new ConcurrentHashMap<>();
     private volatile Consumer<List<Instance>> onChange = changed -> {};
     private final LongAdder requestsSent = new LongAdder();
+    private final LongAdder rateRefusals = new LongAdder();
+    private final AtomicLong lastNoticeVersion = new AtomicLong();
     private volatile boolean draining;
 
     /**
@@ -177,6 +182,12 @@
                 backendOptions.acceptsCloseDelimitedBody(),
                 clock);
         ServiceRule rule = rules.apply(announcement.service());
+        LocalNotice notice = new LocalNotice(
+                announcement.instanceId() + " of " + announcement.service(),
+                announcement.incarnation(),
+                new RequestRateLimit(clock, rateRefusals),
+                lastNoticeVersion,
+                clock);
         return new LocalInstance(
                 announcement.service(),
                 announcement.port(),
@@ -187,8 +198,8 @@
                 leaseUntilMs,
                 clock.nowMs(),
                 rule,
-                mode.newAdmission(rule, announcement.slots(), clock),
-                new LocalNotice(announcement.instanceId() + " of " + announcement.service(), clock),
+                mode.newAdmission(rule, announcement.slots(), notice.rateLimit(), clock),
+                notice,
                 client);
     }
 
@@ -201,7 +212,10 @@
             ServiceRule rule = rules.apply(service);
             return rule.equals(known.rule())
                     ? known
-                    : known.withAdmission(rule, mode.newAdmission(rule, known.slots(), clock));
+                    : known.withAdmission(
+                            rule,
+                            mode.newAdmission(
+                                    rule, known.slots(), known.notice().rateLimit(), clock));
         });
     }
 
@@ -266,6 +280,15 @@
         return requestsSent.sum();
     }
 
+    /**
+     * Returns the number of calls that were refused because of the rates that instances named.
+     *
+     * @return the number; not negative
+     */
+    public long rateRefusals() {
+        return rateRefusals.sum();
+    }
+
     /**
      * Returns the requests per second that instances take, of those that name a rate in their responses.
      *
@@ -274,8 +297,8 @@
     public Map<String, Double> namedRates() {
         Map<String, Double> rates = new HashMap<>();
         instances.forEach((service, instance) -> {
-            double maxRequestsPerS = instance.notice().maxRequestsPerS();
-            if (maxRequestsPerS != InstanceStatement.UNLIMITED) {
+            double maxRequestsPerS = instance.notice().rateLimit().requestsPerS();
+            if (maxRequestsPerS != InstanceNotice.UNLIMITED) {
                 rates.put(service.name(), maxRequestsPerS);
             }
         });
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/RequestContext.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/RequestContext.java
@@ -186,12 +186,14 @@
     /**
      * Records the load report of a sub-call. The lowest admission level of the downstream calls is reported up the
      * chain, so that the entry node can refuse requests that a service further down would refuse only after work was
-     * done for them.
+     * done for them. The level of an instance that names a rate is left out, because its service may have others.
      *
      * @param load the load report; not null
      */
     public void recordLoad(LoadReport load) {
-        recordLevel(load.admissionLevel());
+        if (!load.isRateLimited()) {
+            recordLevel(load.admissionLevel());
+        }
     }
 
     private void recordLevel(double admissionLevel) {
@@ -231,7 +233,8 @@
                 own.limit(),
                 own.queued(),
                 Math.min(own.admissionLevel(), lowestDownstreamLevel),
-                own.instanceLevel());
+                own.instanceLevel(),
+                own.maxRequestsPerS());
     }
 
     /**
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/metrics/ComponentMetrics.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/metrics/ComponentMetrics.java
@@ -43,6 +43,10 @@
                 "sequoianotch_instance_requests_total",
                 "Requests sent to the instances of this host.",
                 instances::sentRequests);
+        metrics.counter(
+                "sequoianotch_instance_rate_refusals_total",
+                "Calls that were refused because an instance of this host takes no more requests per second.",
+                instances::rateRefusals);
         metrics.gauge(
                 "sequoianotch_instance_named_requests_per_second",
                 "Requests per second that an instance of this host takes, if it names a rate.",
--- a/sequoianotch-policy/src/main/java/org/sequoianotch/policy/PolicyMode.java
+++ b/sequoianotch-policy/src/main/java/org/sequoianotch/policy/PolicyMode.java
@@ -9,6 +9,7 @@
 import org.sequoianotch.policy.admission.EntryGate;
 import org.sequoianotch.policy.admission.ProtectiveAdmission;
 import org.sequoianotch.policy.admission.ProtectiveEntryGate;
+import org.sequoianotch.policy.admission.RequestRateLimit;
 import org.sequoianotch.policy.naive.NaiveAdmission;
 import org.sequoianotch.policy.naive.NaiveEntryGate;
 import org.sequoianotch.policy.naive.NaiveRetryPolicy;
@@ -27,8 +28,8 @@
     /** Adaptive concurrency limits, load shedding by criticality, bounded retries, and routing by load. */
     PROTECTIVE {
         @Override
-        public AdmissionControl newAdmission(ServiceRule rule, int slots, Clock clock) {
-            return new ProtectiveAdmission(rule, slots, clock);
+        public AdmissionControl newAdmission(ServiceRule rule, int slots, RequestRateLimit rateLimit, Clock clock) {
+            return new ProtectiveAdmission(rule, slots, rateLimit, clock);
         }
 
         @Override
@@ -55,8 +56,8 @@
     /** Protective policies for exact announced slots and a retry budget that all nodes of a service share. */
     KNOWN_SLOTS {
         @Override
-        public AdmissionControl newAdmission(ServiceRule rule, int slots, Clock clock) {
-            return ProtectiveAdmission.ofKnownSlots(rule, slots, clock);
+        public AdmissionControl newAdmission(ServiceRule rule, int slots, RequestRateLimit rateLimit, Clock clock) {
+            return ProtectiveAdmission.ofKnownSlots(rule, slots, rateLimit, clock);
         }
 
         @Override
@@ -83,7 +84,7 @@
     /** First come, first served; three retries at each hop; random routing. Baseline for comparisons. */
     NAIVE {
         @Override
-        public AdmissionControl newAdmission(ServiceRule rule, int slots, Clock clock) {
+        public AdmissionControl newAdmission(ServiceRule rule, int slots, RequestRateLimit rateLimit, Clock clock) {
             return new NaiveAdmission(slots, clock);
         }
 
@@ -138,10 +139,23 @@
      *
      * @param rule limits of the service; not null
      * @param slots calls that the backend server runs concurrently; at least 1
+     * @param rateLimit limit on the calls that are started, where the mode keeps one; not null
      * @param clock the clock; not null
      * @return the admission control, never null
      */
-    public abstract AdmissionControl newAdmission(ServiceRule rule, int slots, Clock clock);
+    public abstract AdmissionControl newAdmission(ServiceRule rule, int slots, RequestRateLimit rateLimit, Clock clock);
+
+    /**
+     * Creates the admission control of one local instance that never names a rate.
+     *
+     * @param rule limits of the service; not null
+     * @param slots calls that the backend server runs concurrently; at least 1
+     * @param clock the clock; not null
+     * @return the admission control, never null
+     */
+    public AdmissionControl newAdmission(ServiceRule rule, int slots, Clock clock) {
+        return newAdmission(rule, slots, new RequestRateLimit(clock), clock);
+    }
 
     /**
      * Creates the entry gate of one service at a node.
--- a/sequoianotch-policy/src/main/java/org/sequoianotch/policy/admission/InstanceAdmissionLevel.java
+++ b/sequoianotch-policy/src/main/java/org/sequoianotch/policy/admission/InstanceAdmissionLevel.java
@@ -85,11 +85,20 @@
 
     /** Counts a call that was refused because of load rather than its own deadline. */
     void onRefusal(Criticality criticality, double arrivedAtMs, int limit) {
+        countRefusal(criticality, arrivedAtMs);
+        onWait(criticality, true, limit);
+    }
+
+    /** Counts a call that was refused because of a rate, which reserved slots would not change. */
+    void onRateRefusal(Criticality criticality, double arrivedAtMs) {
+        countRefusal(criticality, arrivedAtMs);
+    }
+
+    private void countRefusal(Criticality criticality, double arrivedAtMs) {
         refusedInTotal++;
         if (arrivedAtMs >= decreasedAtMs) {
             refusedSinceDecrease[criticality.ordinal()]++;
         }
-        onWait(criticality, true, limit);
     }
 
     private void onWait(Criticality criticality, boolean isLong, int limit) {
--- a/sequoianotch-policy/src/main/java/org/sequoianotch/policy/admission/ProtectiveAdmission.java
+++ b/sequoianotch-policy/src/main/java/org/sequoianotch/policy/admission/ProtectiveAdmission.java
@@ -24,6 +24,7 @@
     private final ServiceRule rule;
     private final Clock clock;
     private final InFlightLimit limit;
+    private final RequestRateLimit rateLimit;
     private final InstanceAdmissionLevel instanceLevel;
     private final DownstreamAdmissionLevel downstreamLevel;
     private final CallQueue queue = new CallQueue();
@@ -36,17 +37,19 @@
      *
      * @param rule limits of the service; not null
      * @param slots calls that the backend server runs concurrently; at least 1
+     * @param rateLimit limit on the calls that are started; not null
      * @param clock the clock; not null
      * @throws IllegalArgumentException if {@code slots} is less than 1
      */
-    public ProtectiveAdmission(ServiceRule rule, int slots, Clock clock) {
-        this(rule, clock, new ConcurrencyLimit(limitOf(rule, slots), clock.monotonicMs()));
+    public ProtectiveAdmission(ServiceRule rule, int slots, RequestRateLimit rateLimit, Clock clock) {
+        this(rule, clock, new ConcurrencyLimit(limitOf(rule, slots), clock.monotonicMs()), rateLimit);
     }
 
-    private ProtectiveAdmission(ServiceRule rule, Clock clock, InFlightLimit limit) {
+    private ProtectiveAdmission(ServiceRule rule, Clock clock, InFlightLimit limit, RequestRateLimit rateLimit) {
         this.rule = rule;
         this.clock = clock;
         this.limit = limit;
+        this.rateLimit = rateLimit;
         this.instanceLevel = new InstanceAdmissionLevel(rule.queueTimeMs(), clock.monotonicMs());
         this.downstreamLevel = new DownstreamAdmissionLevel(clock.monotonicMs());
     }
@@ -56,12 +59,14 @@
      *
      * @param rule limits of the service; not null
      * @param slots calls that the instance runs concurrently; at least 1
+     * @param rateLimit limit on the calls that are started; not null
      * @param clock the clock; not null
      * @return the admission control, never null
      * @throws IllegalArgumentException if {@code slots} is less than 1
      */
-    public static ProtectiveAdmission ofKnownSlots(ServiceRule rule, int slots, Clock clock) {
-        return new ProtectiveAdmission(rule, clock, InFlightLimit.fixed(limitOf(rule, slots)));
+    public static ProtectiveAdmission ofKnownSlots(
+            ServiceRule rule, int slots, RequestRateLimit rateLimit, Clock clock) {
+        return new ProtectiveAdmission(rule, clock, InFlightLimit.fixed(limitOf(rule, slots)), rateLimit);
     }
 
     private static int limitOf(ServiceRule rule, int slots) {
@@ -104,7 +109,13 @@
             processQueue(clock.monotonicMs(), completions);
             double instanceAdmissionLevel = instanceLevel.level();
             double admissionLevel = Math.min(instanceAdmissionLevel, downstreamLevel.level());
-            report = new LoadReport(inFlight, limit.current(), queue.size(), admissionLevel, instanceAdmissionLevel);
+            report = new LoadReport(
+                    inFlight,
+                    limit.current(),
+                    queue.size(),
+                    admissionLevel,
+                    instanceAdmissionLevel,
+                    rateLimit.requestsPerS());
         }
         completions.forEach(Runnable::run);
         return report;
@@ -135,7 +146,10 @@
         }
     }
 
-    /** Refuses expired calls, then starts the most important ones while slots are free. */
+    /**
+     * Refuses expired calls, then starts the most important ones while slots are free. A call that could start but for
+     * the rate limit is refused at once, since another instance may have room for it.
+     */
     private void processQueue(double nowMs, List<Runnable> completions) {
         for (QueuedCall call : queue.removeExpired(nowMs)) {
             refuse(call, nowMs, "because it reached the queue time limit", completions);
@@ -145,7 +159,11 @@
         downstreamLevel.update(nowMs);
         @Nullable QueuedCall next = queue.mostImportant();
         while (next != null && inFlight < instanceLevel.limitFor(next.request().criticality(), limit.current())) {
-            start(next, nowMs, completions);
+            if (rateLimit.tryTake(next.request())) {
+                start(next, nowMs, completions);
+            } else {
+                refuseForRate(next, completions);
+            }
             next = queue.mostImportant();
         }
     }
@@ -159,6 +177,17 @@
         completions.add(() -> call.promise().complete(Either.right(permit)));
     }
 
+    private void refuseForRate(QueuedCall call, List<Runnable> completions) {
+        queue.remove(call);
+        Criticality criticality = call.request().criticality();
+        instanceLevel.onRateRefusal(criticality, call.arrivedAtMs());
+        Failure failure = new Failure(
+                ErrorKind.OVERLOADED,
+                rateLimit.description() + " A " + criticality.code() + " call was refused.",
+                Math.max(ErrorKind.OVERLOADED.retryAfterMs(), rateLimit.waitMs(call.request())));
+        completions.add(() -> call.promise().complete(Either.left(failure)));
+    }
+
     private void refuse(QueuedCall call, double nowMs, String reason, List<Runnable> completions) {
         Criticality criticality = call.request().criticality();
         double waitedMs = nowMs - call.arrivedAtMs();
--- a/sequoianotch-policy/src/main/java/org/sequoianotch/policy/admission/ProtectiveEntryGate.java
+++ b/sequoianotch-policy/src/main/java/org/sequoianotch/policy/admission/ProtectiveEntryGate.java
@@ -19,13 +19,20 @@
  * <p>The probability is derived from the average of the reported levels, weighted by slots. A report expires after 1 s;
  * its instance is then left out of the average, since this node sends it no calls. If all reports have expired and some
  * of them limited the calls, critical calls are admitted, and one other call per 100 ms as a probe, so that new reports
- * are received. A report is discarded 3 s after it was received. This class is thread-safe.
+ * are received. A report is discarded 3 s after it was received.
+ *
+ * <p>Instances that name the requests per second that they take are left out as long as there are others, to which the
+ * selector sends what they do not take. If all of them name one, the average is weighted by these rates.
+ *
+ * <p>This class is thread-safe.
  */
 public final class ProtectiveEntryGate implements EntryGate {
     private static final double MAX_REPORT_AGE_MS = 1_000;
     private static final double REPORT_RETENTION_MS = 3_000;
     private static final double PROBE_INTERVAL_MS = 100;
     private static final int PERCENT = 100;
+    /** Keeps the average defined if all instances take no requests at all. */
+    private static final double MIN_RATE_WEIGHT = 0.01;
 
     private final Clock clock;
     private final RandomGenerator random;
@@ -53,22 +60,26 @@
     public synchronized Optional<Failure> check(Criticality criticality, List<Instance> instances) {
         double nowMs = clock.monotonicMs();
         evictOldReports(nowMs);
-        double slots = 0;
-        double admittedSlots = 0;
-        boolean hasExpiredLimit = false;
+        ReportSum rateLimited = new ReportSum();
+        ReportSum others = new ReportSum();
+        boolean hasOther = false;
         for (Instance instance : instances) {
             ReportedLoad reported = loads.get(instance.host());
-            if (reported != null && nowMs - reported.receivedAtMs() < MAX_REPORT_AGE_MS) {
-                slots += instance.slots();
-                admittedSlots += instance.slots() * reported.load().admittedFraction(criticality);
-            } else if (reported != null && nowMs - reported.receivedAtMs() < REPORT_RETENTION_MS) {
-                hasExpiredLimit |= reported.load().admittedFraction(criticality) < 1;
+            if (reported == null || nowMs - reported.receivedAtMs() >= REPORT_RETENTION_MS) {
+                hasOther = true;
+            } else if (reported.load().isRateLimited()) {
+                double weight = Math.max(MIN_RATE_WEIGHT, reported.load().maxRequestsPerS());
+                rateLimited.add(reported, weight, criticality, nowMs);
+            } else {
+                hasOther = true;
+                others.add(reported, instance.slots(), criticality, nowMs);
             }
         }
-        if (slots == 0) {
-            return hasExpiredLimit ? probe(criticality, nowMs) : Optional.empty();
+        ReportSum sum = hasOther ? others : rateLimited;
+        if (sum.weight == 0) {
+            return sum.hasExpiredLimit ? probe(criticality, nowMs) : Optional.empty();
         }
-        double fraction = admittedSlots / slots;
+        double fraction = sum.admittedWeight / sum.weight;
         if (fraction >= 1 || random.nextDouble() < fraction) {
             return Optional.empty();
         }
@@ -100,6 +111,23 @@
         }
     }
 
+    /** Weighted sum of the admitted fractions of reports that have not expired. */
+    private static final class ReportSum {
+        private double weight;
+        private double admittedWeight;
+        private boolean hasExpiredLimit;
+
+        void add(ReportedLoad reported, double reportWeight, Criticality criticality, double nowMs) {
+            double fraction = reported.load().admittedFraction(criticality);
+            if (nowMs - reported.receivedAtMs() < MAX_REPORT_AGE_MS) {
+                weight += reportWeight;
+                admittedWeight += reportWeight * fraction;
+            } else {
+                hasExpiredLimit |= fraction < 1;
+            }
+        }
+    }
+
     /** A load report and the monotonic time at which it was received, in milliseconds. */
     private record ReportedLoad(LoadReport load, double receivedAtMs) {}
 }
--- a/sequoianotch-policy/src/main/java/org/sequoianotch/policy/routing/CandidateGroups.java
+++ b/sequoianotch-policy/src/main/java/org/sequoianotch/policy/routing/CandidateGroups.java
@@ -43,11 +43,15 @@
 
     /** Returns the groups without the instances on some hosts. */
     CandidateGroups without(Predicate<HostId> excluded) {
-        return filter(candidate -> !excluded.test(candidate.instance().host()));
+        return withoutCandidates(candidate -> excluded.test(candidate.instance().host()));
+    }
+
+    CandidateGroups withoutCandidates(Predicate<Candidate> excluded) {
+        return filter(candidate -> !excluded.test(candidate));
     }
 
     CandidateGroups withoutEjected() {
-        return filter(candidate -> !candidate.stats().isEjected());
+        return withoutCandidates(candidate -> candidate.stats().isEjected());
     }
 
     private CandidateGroups filter(Predicate<Candidate> retained) {
--- a/sequoianotch-policy/src/main/java/org/sequoianotch/policy/routing/InstanceStats.java
+++ b/sequoianotch-policy/src/main/java/org/sequoianotch/policy/routing/InstanceStats.java
@@ -22,7 +22,7 @@
     /** Averages of fewer samples are too noisy to take a minimum of. */
     private static final int MIN_SAMPLES_FOR_LOWEST = 10;
 
-    private static final double MAX_LOAD_AGE_MS = 1_000;
+    static final double MAX_LOAD_AGE_MS = 1_000;
     private static final double MAX_LATENCY_AGE_MS = 10_000;
 
     private static final int FAULTS_BEFORE_EJECTION = 5;
@@ -174,6 +174,12 @@
         return report == null ? 0 : report.utilisation();
     }
 
+    /** Returns whether the instance named the requests per second that it takes in the last load report. */
+    boolean isRateLimited(double nowMs) {
+        LoadReport report = freshLoad(nowMs);
+        return report != null && report.isRateLimited();
+    }
+
     /** Ignores what downstream services refuse, since it affects the other instances of this service as well. */
     double admittedFraction(Criticality criticality, double nowMs) {
         LoadReport report = freshLoad(nowMs);
--- a/sequoianotch-policy/src/main/java/org/sequoianotch/policy/routing/ProtectiveSelector.java
+++ b/sequoianotch-policy/src/main/java/org/sequoianotch/policy/routing/ProtectiveSelector.java
@@ -25,7 +25,8 @@
  * Another region is chosen if no other instance is left, or if the time saved exceeds the price of the volume.
  *
  * <p>Of two random instances the one with the lower expected cost is chosen; instances in their slow-start period are
- * drawn less often. Ejected instances receive single probes. If every candidate is ejected, ejection is ignored. This
+ * drawn less often. An instance that names the requests per second that it takes is left out of the share of calls that
+ * it does not admit. Ejected instances receive single probes. If every candidate is ejected, ejection is ignored. This
  * class is thread-safe.
  */
 public final class ProtectiveSelector implements InstanceSelector {
@@ -71,6 +72,8 @@
     private @Nullable CandidateGroups groups;
     private @Nullable List<Instance> groupedFrom;
     private int ejectedCount;
+    /** Until this time, some instance may be known to name the requests per second that it takes. */
+    private double rateLimitedUntilMs = Double.NEGATIVE_INFINITY;
     /** Until this time, some instance may be in its slow-start period. */
     private double slowStartEndsAtMs = Double.NEGATIVE_INFINITY;
     /** Estimate of the latency of the service without load: the lowest average of any instance. */
@@ -120,10 +123,23 @@
             CandidateGroups healthy = usable.withoutEjected();
             usable = healthy.isEmpty() ? usable : healthy;
         }
+        if (nowMs < rateLimitedUntilMs) {
+            CandidateGroups admitting = withoutFullRateLimits(request.criticality(), usable, nowMs);
+            usable = admitting.isEmpty() ? usable : admitting;
+        }
         Candidate chosen = chooseByDistance(request, usable, nowMs);
         return chosen == null ? Optional.empty() : Optional.of(chosen.instance());
     }
 
+    /**
+     * Leaves out each instance that names the requests per second that it takes, except for the fraction of the calls
+     * that it admits. Its cost does not show that it is full, because few calls are in flight there.
+     */
+    private CandidateGroups withoutFullRateLimits(Criticality criticality, CandidateGroups usable, double nowMs) {
+        return usable.withoutCandidates(candidate -> candidate.stats().isRateLimited(nowMs)
+                && random.nextDouble() >= candidate.stats().admittedFraction(criticality, nowMs));
+    }
+
     /** Groups the instances again only if they have changed; the list of a service stays the same object until then. */
     private CandidateGroups groupsOf(List<Instance> candidates, double nowMs) {
         if (groups == null || groupedFrom != candidates) {
@@ -355,7 +371,11 @@
 
     private void finish(InstanceStats stats, AttemptResult result, double elapsedMs, @Nullable LoadReport load) {
         boolean wasEjected = stats.isEjected();
-        stats.onFinish(result, elapsedMs, load, clock.monotonicMs());
+        double nowMs = clock.monotonicMs();
+        stats.onFinish(result, elapsedMs, load, nowMs);
+        if (load != null && load.isRateLimited()) {
+            rateLimitedUntilMs = nowMs + InstanceStats.MAX_LOAD_AGE_MS;
+        }
         noteLatency(stats);
         if (stats.isEjected() != wasEjected) {
             ejectedCount += wasEjected ? -1 : 1;
--- a/sequoianotch-policy/src/test/java/org/sequoianotch/policy/admission/ProtectiveAdmissionTest.java
+++ b/sequoianotch-policy/src/test/java/org/sequoianotch/policy/admission/ProtectiveAdmissionTest.java
@@ -15,6 +15,7 @@
 import org.sequoianotch.error.ErrorKind;
 import org.sequoianotch.error.Failure;
 import org.sequoianotch.model.Criticality;
+import org.sequoianotch.model.InstanceNotice;
 import org.sequoianotch.model.RequestId;
 import org.sequoianotch.model.ServiceName;
 import org.sequoianotch.policy.PolicyMode;
@@ -54,6 +55,51 @@
                 .inOrder();
     }
 
+    /** A refused call that waits could not be sent to another instance in time. */
+    @Test
+    void callBeyondTheNamedRateIsRefusedAtOnceWithTheTimeUntilThereIsRoom() {
+        RequestRateLimit rateLimit = new RequestRateLimit(clock);
+        AdmissionControl limited = PolicyMode.KNOWN_SLOTS.newAdmission(
+                new ServiceRule(ServiceName.of("jury"), 10, 3, 100, 10, 0), 10, rateLimit, clock);
+        rateLimit.set(0.5, "the response to request 7");
+        clock.advance(4_000);
+        List<Either<Failure, Permit>> decisions = new ArrayList<>();
+        for (int i = 0; i < 3; i++) {
+            limited.submit(new AdmissionRequest(new RequestId(0, 1), Criticality.CRITICAL, 0, 9_000))
+                    .whenDecided(decisions::add);
+        }
+
+        assertThat(decisions).hasSize(3);
+        assertThat(decisions.get(1).isRight()).isTrue();
+        Failure refusal = decisions.get(2).getLeft();
+        assertThat(refusal.kind()).isEqualTo(ErrorKind.OVERLOADED);
+        assertThat(refusal.retryAfterMs()).isEqualTo(2_000);
+        assertThat(refusal.detail()).contains("0.5 requests per second");
+        assertThat(refusal.detail()).contains("the response to request 7");
+        assertThat(limited.load().maxRequestsPerS()).isEqualTo(0.5);
+    }
+
+    /** Slots reserved for refused critical calls kept others out for a minute after the end of the limit. */
+    @Test
+    void allSlotsAreUsedAgainOnceTheRateIsNoLongerNamed() {
+        RequestRateLimit rateLimit = new RequestRateLimit(clock);
+        AdmissionControl limited = PolicyMode.KNOWN_SLOTS.newAdmission(
+                new ServiceRule(ServiceName.of("jury"), 10, 3, 100, 10, 0), 10, rateLimit, clock);
+        rateLimit.set(1, "a test");
+        for (int i = 0; i < 1_000; i++) {
+            clock.advance(10);
+            limited.submit(new AdmissionRequest(new RequestId(0, 1), Criticality.CRITICAL, 0, 90_000))
+                    .whenDecided(decision -> decision.forEach(permit -> permit.release(CallResult.SUCCEEDED, 1)));
+        }
+        rateLimit.set(InstanceNotice.UNLIMITED, "a test");
+        AtomicInteger startedCalls = new AtomicInteger();
+        for (int i = 0; i < 10; i++) {
+            limited.submit(new AdmissionRequest(new RequestId(0, 1), Criticality.SHEDDABLE, 0, 90_000))
+                    .whenDecided(decision -> startedCalls.addAndGet(decision.isRight() ? 1 : 0));
+        }
+        assertThat(startedCalls.get()).isEqualTo(10);
+    }
+
     @Test
     void expiredCallsAreRefusedBeforeTheyRun() {
         Permit permit = admit();
--- a/sequoianotch-policy/src/test/java/org/sequoianotch/policy/admission/ProtectiveEntryGateTest.java
+++ b/sequoianotch-policy/src/test/java/org/sequoianotch/policy/admission/ProtectiveEntryGateTest.java
@@ -50,10 +50,43 @@
         assertThat(admitted(Criticality.SHEDDABLE, 100)).isEqualTo(100);
     }
 
+    /** Callers were refused because one instance names a rate, while others had room. */
+    @Test
+    void instanceThatNamesARateIsLeftOutBesideOthers() {
+        List<Instance> two = List.of(INSTANCES.get(0), TestInstances.of("host-2", "brest", "west", 10, 0));
+        gate.observe(HOST, rateLimited(5, 0.5));
+
+        assertThat(admitted(Criticality.SHEDDABLE, 100, two)).isEqualTo(100);
+        gate.observe(HostId.of("host-2"), new LoadReport(1, 10, 0, 3.0));
+        assertThat(admitted(Criticality.SHEDDABLE, 100, two)).isEqualTo(100);
+    }
+
+    @Test
+    void levelsAreWeightedByTheRatesIfAllInstancesNameOne() {
+        List<Instance> two = List.of(INSTANCES.get(0), TestInstances.of("host-2", "brest", "west", 10, 0));
+        gate.observe(HOST, rateLimited(0, 0.1));
+        gate.observe(HostId.of("host-2"), rateLimited(100, 3.0));
+        assertThat(admitted(Criticality.SHEDDABLE, 1_000, two)).isAtLeast(990);
+
+        gate.observe(HostId.of("host-2"), rateLimited(100, 2.5));
+        assertThat(admitted(Criticality.SHEDDABLE, 1_000, two) / 1_000.0)
+                .isWithin(0.05)
+                .of(0.5);
+        assertThat(admitted(Criticality.STANDARD, 1_000, two)).isAtLeast(990);
+    }
+
+    private static LoadReport rateLimited(double requestsPerS, double level) {
+        return new LoadReport(1, 10, 0, level, level, requestsPerS);
+    }
+
     private int admitted(Criticality criticality, int calls) {
+        return admitted(criticality, calls, INSTANCES);
+    }
+
+    private int admitted(Criticality criticality, int calls, List<Instance> instances) {
         int admitted = 0;
         for (int i = 0; i < calls; i++) {
-            admitted += gate.check(criticality, INSTANCES).isEmpty() ? 1 : 0;
+            admitted += gate.check(criticality, instances).isEmpty() ? 1 : 0;
         }
         return admitted;
     }
--- a/sequoianotch-policy/src/test/java/org/sequoianotch/policy/routing/ProtectiveSelectorTest.java
+++ b/sequoianotch-policy/src/test/java/org/sequoianotch/policy/routing/ProtectiveSelectorTest.java
@@ -94,6 +94,22 @@
         assertThat(calls.getOrDefault(host(0), 0)).isLessThan(100);
     }
 
+    /** With few calls in flight it seemed to be the least loaded one, and got nearly all calls. */
+    @Test
+    void instanceThatNamesARateGetsTheShareOfCallsThatItAdmits() {
+        reset(4);
+        loads.put(host(0), new LoadReport(0, 10, 0, 1.1, 1.1, 2));
+        for (int i = 1; i < 4; i++) {
+            loads.put(host(i), BUSY);
+        }
+        InstanceSelector selector = selector(PolicyMode.PROTECTIVE, 1, 0);
+        run(selector, Criticality.STANDARD, 100);
+        calls.clear();
+        run(selector, Criticality.STANDARD, 1_000);
+        assertThat(calls.getOrDefault(host(0), 0)).isAtMost(150);
+        assertThat(calls.getOrDefault(host(0), 0)).isAtLeast(10);
+    }
+
     @Test
     void callsThatTheDataCentreDoesNotAdmitSpillToTheRegion() {
         reset(2);
--- a/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/CallHeader.java
+++ b/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/CallHeader.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import org.jspecify.annotations.Nullable;
 import org.sequoianotch.model.Criticality;
+import org.sequoianotch.model.InstanceNotice;
 import org.sequoianotch.model.RequestId;
 import org.sequoianotch.model.ServiceName;
 
@@ -26,6 +27,7 @@
  * @param depth number of calls above this one in the call chain; zero for the call of the entry node
  * @param idempotencyKey the idempotency key, or null if there is none
  * @param bodyBytes length of the body in bytes, or {@link #LENGTH_UNKNOWN}
+ * @param notice what the sending node remembers of the called instance, or null if that is nothing
  */
 public record CallHeader(
         RequestId requestId,
@@ -39,7 +41,8 @@
         int retryShare,
         int depth,
         @Nullable String idempotencyKey,
-        long bodyBytes) {
+        long bodyBytes,
+        @Nullable InstanceNotice notice) {
     /** Value of {@code bodyBytes} for a body whose length is not known in advance. */
     public static final long LENGTH_UNKNOWN = -1;
 
@@ -66,6 +69,51 @@
         }
     }
 
+    /**
+     * Creates the head of a call to an instance of which nothing is remembered.
+     *
+     * @param requestId the caller's request that the call belongs to; not null
+     * @param service the called service; not null
+     * @param method the HTTP method; not null
+     * @param path the path after the service name, with its query; not null; starts with a slash
+     * @param headers the HTTP header fields to forward; not null
+     * @param timeLeftMs time until the deadline, in milliseconds; positive
+     * @param targetLeftMs time until which a response has its full value, in milliseconds, or {@link #NO_TARGET}
+     * @param criticality priority of the request when load is shed; not null
+     * @param retryShare number of retries that the callee may use; not negative
+     * @param depth number of calls above this one in the call chain; not negative
+     * @param idempotencyKey the idempotency key, or null if there is none
+     * @param bodyBytes length of the body in bytes, or {@link #LENGTH_UNKNOWN}
+     */
+    public CallHeader(
+            RequestId requestId,
+            ServiceName service,
+            String method,
+            String path,
+            List<HeaderField> headers,
+            long timeLeftMs,
+            long targetLeftMs,
+            Criticality criticality,
+            int retryShare,
+            int depth,
+            @Nullable String idempotencyKey,
+            long bodyBytes) {
+        this(
+                requestId,
+                service,
+                method,
+                path,
+                headers,
+                timeLeftMs,
+                targetLeftMs,
+                criticality,
+                retryShare,
+                depth,
+                idempotencyKey,
+                bodyBytes,
+                null);
+    }
+
     /**
      * Returns the idempotency key.
      *
--- a/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/Frame.java
+++ b/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/Frame.java
@@ -16,7 +16,7 @@
  */
 public sealed interface Frame {
     /** Version of the protocol that this module implements. */
-    int VERSION = 2;
+    int VERSION = 3;
 
     /** Size of a nonce and of an authentication proof in bytes. */
     int PROOF_BYTES = 32;
--- a/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/FrameReader.java
+++ b/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/FrameReader.java
@@ -14,6 +14,7 @@
 import org.sequoianotch.model.Criticality;
 import org.sequoianotch.model.DataCentre;
 import org.sequoianotch.model.HostId;
+import org.sequoianotch.model.InstanceNotice;
 import org.sequoianotch.model.LoadReport;
 import org.sequoianotch.model.RequestId;
 import org.sequoianotch.model.ServiceName;
@@ -56,7 +57,8 @@
             case BODY -> new Frame.Body(readId(), readBinary());
             case BODY_END -> new Frame.BodyEnd(readId());
             case RESPONSE_START -> new Frame.ResponseStart(
-                    readId(), new ResponseHeader(unpacker.unpackInt(), readHeaders(), unpacker.unpackLong()));
+                    readId(),
+                    new ResponseHeader(unpacker.unpackInt(), readHeaders(), unpacker.unpackLong(), readNotice()));
             case RESPONSE_BODY -> new Frame.ResponseBody(readId(), readBinary());
             case RESPONSE_END -> new Frame.ResponseEnd(readId(), readTrailer());
             case REFUSED -> new Frame.Refused(readId(), readFailure(), readTrailer());
@@ -119,7 +121,8 @@
                 unpacker.unpackInt(),
                 unpacker.unpackInt(),
                 unpacker.getNextFormat() == MessageFormat.NIL ? readNil() : unpacker.unpackString(),
-                unpacker.unpackLong());
+                unpacker.unpackLong(),
+                readNotice());
     }
 
     private @Nullable String readNil() throws IOException {
@@ -165,7 +168,7 @@
         return headers;
     }
 
-    private ResponseTrailer readTrailer() throws IOException {
+    private ResponseTrailer readTrailer() throws IOException, FrameFormatException {
         return new ResponseTrailer(
                 unpacker.unpackInt(),
                 new LoadReport(
@@ -173,7 +176,29 @@
                         unpacker.unpackInt(),
                         unpacker.unpackInt(),
                         unpacker.unpackDouble(),
-                        unpacker.unpackDouble()));
+                        unpacker.unpackDouble(),
+                        readRate()),
+                readNotice());
+    }
+
+    private @Nullable InstanceNotice readNotice() throws IOException, FrameFormatException {
+        if (unpacker.getNextFormat() == MessageFormat.NIL) {
+            unpacker.unpackNil();
+            return null;
+        }
+        int count = unpacker.unpackArrayHeader();
+        if (count != FrameWriter.NOTICE_FIELDS) {
+            throw new FrameFormatException("notice has " + count + " fields instead of " + FrameWriter.NOTICE_FIELDS);
+        }
+        return new InstanceNotice(unpacker.unpackLong(), unpacker.unpackLong(), readRate(), unpacker.unpackBoolean());
+    }
+
+    private double readRate() throws IOException {
+        if (unpacker.getNextFormat() == MessageFormat.NIL) {
+            unpacker.unpackNil();
+            return InstanceNotice.UNLIMITED;
+        }
+        return unpacker.unpackDouble();
     }
 
     private Failure readFailure() throws IOException, FrameFormatException {
--- a/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/FrameWriter.java
+++ b/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/FrameWriter.java
@@ -3,15 +3,19 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.List;
+import org.jspecify.annotations.Nullable;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePacker;
 import org.sequoianotch.error.Failure;
+import org.sequoianotch.model.InstanceNotice;
 
 /** Encodes a frame as a MessagePack array of its type code and its fields in wire order. */
 final class FrameWriter {
     /** Most frames have a few hundred bytes; the library would allocate its default of 8 KiB for each of them. */
     static final MessagePack.PackerConfig CONFIG = new MessagePack.PackerConfig().withBufferSize(512);
 
+    static final int NOTICE_FIELDS = 4;
+
     private final MessagePacker packer;
 
     FrameWriter(MessagePacker packer) {
@@ -40,6 +44,7 @@
                 packer.packLong(f.callId()).packInt(f.header().status());
                 writeHeaders(f.header().headers());
                 packer.packLong(f.header().bodyBytes());
+                writeNotice(f.header().notice());
             }
             case Frame.ResponseBody f -> writeIdAndBinary(f.callId(), f.bytes());
             case Frame.ResponseEnd f -> {
@@ -86,6 +91,26 @@
             packer.packString(header.idempotencyKey());
         }
         packer.packLong(header.bodyBytes());
+        writeNotice(header.notice());
+    }
+
+    private void writeNotice(@Nullable InstanceNotice notice) throws IOException {
+        if (notice == null) {
+            packer.packNil();
+            return;
+        }
+        packer.packArrayHeader(NOTICE_FIELDS);
+        packer.packLong(notice.incarnation()).packLong(notice.version());
+        writeRate(notice.maxRequestsPerS());
+        packer.packBoolean(notice.leaving());
+    }
+
+    private void writeRate(double requestsPerS) throws IOException {
+        if (requestsPerS == InstanceNotice.UNLIMITED) {
+            packer.packNil();
+        } else {
+            packer.packDouble(requestsPerS);
+        }
     }
 
     private static byte[] requestIdBytes(CallHeader header) {
@@ -109,6 +134,8 @@
         packer.packInt(trailer.load().queued());
         packer.packDouble(trailer.load().admissionLevel())
                 .packDouble(trailer.load().instanceLevel());
+        writeRate(trailer.load().maxRequestsPerS());
+        writeNotice(trailer.notice());
     }
 
     private void writeFailure(Failure failure) throws IOException {
--- a/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/ResponseHeader.java
+++ b/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/ResponseHeader.java
@@ -1,6 +1,8 @@
 package org.sequoianotch.protocol;
 
 import java.util.List;
+import org.jspecify.annotations.Nullable;
+import org.sequoianotch.model.InstanceNotice;
 
 /**
  * Head of a response between nodes: the HTTP status and header fields.
@@ -10,8 +12,9 @@
  * @param status the HTTP status; 200 to 599
  * @param headers the HTTP header fields to forward; not null
  * @param bodyBytes length of the body in bytes, or {@link CallHeader#LENGTH_UNKNOWN}
+ * @param notice what the instance has said about itself, or null if that is nothing
  */
-public record ResponseHeader(int status, List<HeaderField> headers, long bodyBytes) {
+public record ResponseHeader(int status, List<HeaderField> headers, long bodyBytes, @Nullable InstanceNotice notice) {
     private static final int MIN_STATUS = 200;
     private static final int MAX_STATUS = 599;
 
@@ -27,4 +30,15 @@
                     "status " + status + " is not from 200 to 599, or bodyBytes " + bodyBytes + " is less than -1");
         }
     }
+
+    /**
+     * Creates the head of a response of an instance that has said nothing about itself.
+     *
+     * @param status the HTTP status; 200 to 599
+     * @param headers the HTTP header fields to forward; not null
+     * @param bodyBytes length of the body in bytes, or {@link CallHeader#LENGTH_UNKNOWN}
+     */
+    public ResponseHeader(int status, List<HeaderField> headers, long bodyBytes) {
+        this(status, headers, bodyBytes, null);
+    }
 }
--- a/sequoianotch-protocol/src/test/java/org/sequoianotch/protocol/FrameCodecTest.java
+++ b/sequoianotch-protocol/src/test/java/org/sequoianotch/protocol/FrameCodecTest.java
@@ -17,6 +17,7 @@
 import net.jqwik.api.Provide;
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.Size;
+import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
@@ -28,6 +29,7 @@
 import org.sequoianotch.model.Criticality;
 import org.sequoianotch.model.DataCentre;
 import org.sequoianotch.model.HostId;
+import org.sequoianotch.model.InstanceNotice;
 import org.sequoianotch.model.LoadReport;
 import org.sequoianotch.model.RequestId;
 import org.sequoianotch.model.ServiceName;
@@ -169,9 +171,16 @@
                         texts,
                         Arbitraries.longs().greaterOrEqual(0))
                 .as(Failure::new);
+        Arbitrary<Double> rates =
+                Arbitraries.oneOf(Arbitraries.doubles().between(0, 1e15), Arbitraries.just(InstanceNotice.UNLIMITED));
+        Arbitrary<InstanceNotice> notices = Combinators.combine(
+                        Arbitraries.longs(), ids, rates, Arbitraries.of(true, false))
+                .as(InstanceNotice::new)
+                .injectNull(0.5);
         Arbitrary<ResponseTrailer> trailers = Combinators.combine(
-                        counts, counts, counts, Arbitraries.doubles().between(0, 3))
-                .as((a, b, c, level) -> new ResponseTrailer(a, new LoadReport(b, Math.max(1, c), a, level / 2, level)));
+                        counts, counts, counts, Arbitraries.doubles().between(0, 3), rates, notices)
+                .as((a, b, c, level, rate, notice) ->
+                        new ResponseTrailer(a, new LoadReport(b, Math.max(1, c), a, level / 2, level, rate), notice));
         Arbitrary<List<HeaderField>> headers =
                 Combinators.combine(texts, texts).as(HeaderField::new).list().ofMaxSize(8);
         Arbitrary<Long> lengths = Arbitraries.longs().greaterOrEqual(CallHeader.LENGTH_UNKNOWN);
@@ -182,9 +191,9 @@
                         ids,
                         Arbitraries.of(Criticality.class),
                         counts,
-                        texts.injectNull(0.5),
+                        Combinators.combine(texts.injectNull(0.5), notices).as(KeyAndNotice::new),
                         lengths)
-                .as((id, text, fields, timeLeftMs, criticality, count, key, length) -> new CallHeader(
+                .as((id, text, fields, timeLeftMs, criticality, count, keyAndNotice, length) -> new CallHeader(
                         new RequestId(id, ~id),
                         ServiceName.of("jury"),
                         text,
@@ -195,10 +204,11 @@
                         criticality,
                         count,
                         count,
-                        key,
-                        length));
+                        keyAndNotice.key(),
+                        length,
+                        keyAndNotice.notice()));
         Arbitrary<ResponseHeader> responses = Combinators.combine(
-                        Arbitraries.integers().between(200, 599), headers, lengths)
+                        Arbitraries.integers().between(200, 599), headers, lengths, notices)
                 .as(ResponseHeader::new);
         return Arbitraries.oneOf(
                 Combinators.combine(counts, hosts, dataCentres, proofs).as(Frame.Hello::new),
@@ -222,6 +232,9 @@
                 texts.map(Frame.GoAway::new));
     }
 
+    /** Two fields in one, because arbitraries can be combined from eight parts at most. */
+    private record KeyAndNotice(@Nullable String key, @Nullable InstanceNotice notice) {}
+
     /** Removes surrogates, because unpaired surrogates cannot be encoded as UTF-8. */
     private static String withoutSurrogates(String text) {
         return text.replaceAll("[\\uD800-\\uDFFF]", "");
