Send no more calls to an instance that says that it is leaving

Cause: an instance that leaves says so in all its responses, also if it never reports that it drains and goes on to report that it is ready. Callers saw requests cut off or failed when the instance ended.

Change: the node beside the instance withdraws it with the first such response, and accepts calls during the notice period only; later heartbeats of the incarnation do not bring it back, nor does the end of its lease. The statement is part of the notice that other nodes remember. A node that knows that an incarnation is leaving says so with each call to its host, and such a call is refused before it reaches the instance, whatever a restarted process beside it believes; that process withdraws the instance then, too. A later incarnation is not affected. Notices of an instance outlive its lease, so that a rate is not forgotten with it either.

Result: LeavingInstanceTest failed in three of three cases (250, 83 and 169 late requests) and passes. It no longer waits until each node has passed such a response on, since others learn of the withdrawal first now; nodes without one are not bound. InstanceNoticeTest guards the calls of nodes that remember: two of its tests fail without it.

--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/Announcement.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/Announcement.java
@@ -15,10 +15,14 @@
  * @param state state of the backend server; not null
  * @param instanceId id that distinguishes the process from earlier and later ones at the same address, or empty if it
  *     has none; not null
- * @param incarnation number that differs between the incarnations of instances on one host, or zero if it has none
+ * @param incarnation number that differs between the incarnations of instances on one host, or
+ *     {@link #UNKNOWN_INCARNATION}
  */
 public record Announcement(
         ServiceName service, int port, int slots, BackendState state, String instanceId, long incarnation) {
+    /** Value of {@code incarnation} for a backend server whose incarnations cannot be told apart. */
+    public static final long UNKNOWN_INCARNATION = 0;
+
     private static final int MAX_PORT = 65_535;
     private static final int MAX_SLOTS = 100_000;
 
@@ -49,6 +53,6 @@
      * @throws IllegalArgumentException if the port or the slots are out of range
      */
     public Announcement(ServiceName service, int port, int slots, BackendState state) {
-        this(service, port, slots, state, "", 0);
+        this(service, port, slots, state, "", UNKNOWN_INCARNATION);
     }
 }
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/InstanceServer.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/InstanceServer.java
@@ -124,11 +124,8 @@
             refuse(call, context, Failure.of(ErrorKind.NO_INSTANCE, detail), null);
             return;
         }
-        InstanceNotice remembered = call.header().notice();
-        if (remembered != null) {
-            instance.notice().onRemembered(remembered, call.from());
-        }
-        if (instances.isDraining() || !instance.accepts(clock.monotonicMs())) {
+        boolean isKnownToLeave = applyRemembered(call, instance);
+        if (instances.isDraining() || isKnownToLeave || !isStillAccepting(instance)) {
             refuse(call, context, drainingFailure(call.header()), instance);
             return;
         }
@@ -150,6 +147,18 @@
         serve(call, context, instance, admitted.get());
     }
 
+    /** Returns whether the sending node knows that the instance is leaving, so that the call must not reach it. */
+    private boolean applyRemembered(IncomingCall call, LocalInstance instance) {
+        InstanceNotice remembered = call.header().notice();
+        if (remembered == null) {
+            return false;
+        }
+        instance.notice().onRemembered(remembered, call.from());
+        instances.applyLeaving(instance);
+        return remembered.leaving()
+                && remembered.incarnation() == instance.notice().incarnation();
+    }
+
     private void serve(IncomingCall call, RequestContext context, LocalInstance instance, Permit permit)
             throws InterruptedException {
         double startedAtMs = clock.monotonicMs();
@@ -308,6 +317,7 @@
             boolean mayBeCopy = info.notExecuted() && !info.namesCall() && connection.hasRefusedAny();
             if (info.belongsToCall() && !mayBeCopy && info.statement() != null) {
                 instance.notice().onResponse(info.statement(), context.requestId(), connection.headReceivedAtMs());
+                instances.applyLeaving(instance);
             }
             if (info.belongsToCall() && !info.notExecuted()) {
                 if (info.maxIdleMs() > 0) {
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/LocalInstances.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/LocalInstances.java
@@ -5,6 +5,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -38,6 +39,8 @@
     private static final int CONNECT_TIMEOUT_MS = 500;
     /** A host has one backend server with few services. */
     static final int MAX_INSTANCES = Membership.MAX_INSTANCES;
+    /** The statements of an instance matter for a minute, in which far fewer instances of one host start. */
+    private static final int MAX_NOTICES = 64;
 
     private final NodeLocation location;
     private final InetAddress backendAddress;
@@ -52,6 +55,9 @@
     private final LongAdder requestsSent = new LongAdder();
     private final LongAdder rateRefusals = new LongAdder();
     private final AtomicLong lastNoticeVersion = new AtomicLong();
+    /** The notices of the latest incarnations, also after their leases have ended. */
+    private final Map<Long, LocalNotice> notices = new LinkedHashMap<>();
+
     private volatile boolean draining;
 
     /**
@@ -104,15 +110,11 @@
     public synchronized long announce(Announcement announcement) {
         LocalInstance known = instances.get(announcement.service());
         double leaseUntilMs = clock.monotonicMs() + leaseMs;
+        BackendState state = stateOf(announcement);
         if (known != null && isSameProcess(known, announcement)) {
-            instances.put(
-                    announcement.service(),
-                    known.withLease(announcement.state(), acceptsUntilMs(known, announcement.state()), leaseUntilMs));
-            if (known.state() != announcement.state()) {
-                LOG.info(
-                        "[node] Instance of {} is now {}.",
-                        announcement.service(),
-                        announcement.state().code());
+            instances.put(announcement.service(), known.withLease(state, acceptsUntilMs(known, state), leaseUntilMs));
+            if (known.state() != state) {
+                LOG.info("[node] Instance of {} is now {}.", announcement.service(), state.code());
                 notifyChange();
             }
             return leaseMs;
@@ -134,6 +136,33 @@
         return leaseMs;
     }
 
+    /** An instance that has said that it is leaving stays withdrawn, whatever it announces afterwards. */
+    private BackendState stateOf(Announcement announcement) {
+        LocalNotice known = notices.get(announcement.incarnation());
+        return known != null && known.isLeaving() ? BackendState.DRAINING : announcement.state();
+    }
+
+    /**
+     * Withdraws an instance if it has said that it is leaving. Calls of nodes that do not know it yet are accepted
+     * during the notice period.
+     */
+    void applyLeaving(LocalInstance instance) {
+        if (instance.notice().isLeaving() && instance.state().acceptsWork()) {
+            withdrawLeaving(instance.service(), instance.notice());
+        }
+    }
+
+    private synchronized void withdrawLeaving(ServiceName service, LocalNotice notice) {
+        LocalInstance known = instances.get(service);
+        if (known != null && known.notice() == notice && known.state().acceptsWork()) {
+            instances.put(
+                    service,
+                    known.withLease(
+                            BackendState.DRAINING, acceptsUntilMs(known, BackendState.DRAINING), known.leaseUntilMs()));
+            notifyChange();
+        }
+    }
+
     private static boolean isSameProcess(LocalInstance known, Announcement announcement) {
         return known.port() == announcement.port()
                 && known.slots() == announcement.slots()
@@ -182,17 +211,12 @@
                 backendOptions.acceptsCloseDelimitedBody(),
                 clock);
         ServiceRule rule = rules.apply(announcement.service());
-        LocalNotice notice = new LocalNotice(
-                announcement.instanceId() + " of " + announcement.service(),
-                announcement.incarnation(),
-                new RequestRateLimit(clock, rateRefusals),
-                lastNoticeVersion,
-                clock);
+        LocalNotice notice = noticeOf(announcement);
         return new LocalInstance(
                 announcement.service(),
                 announcement.port(),
                 announcement.slots(),
-                announcement.state(),
+                stateOf(announcement),
                 announcement.instanceId(),
                 clock.monotonicMs(),
                 leaseUntilMs,
@@ -203,6 +227,26 @@
                 client);
     }
 
+    private LocalNotice noticeOf(Announcement announcement) {
+        LocalNotice known = notices.get(announcement.incarnation());
+        if (known != null) {
+            return known;
+        }
+        LocalNotice notice = new LocalNotice(
+                announcement.instanceId() + " of " + announcement.service(),
+                announcement.incarnation(),
+                new RequestRateLimit(clock, rateRefusals),
+                lastNoticeVersion,
+                clock);
+        if (announcement.incarnation() != Announcement.UNKNOWN_INCARNATION) {
+            notices.put(announcement.incarnation(), notice);
+            if (notices.size() > MAX_NOTICES) {
+                notices.remove(notices.keySet().iterator().next());
+            }
+        }
+        return notice;
+    }
+
     /**
      * Applies the limits of the templates in force. An instance with unchanged limits keeps its admission control and
      * the measurements in it.
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/LocalNotice.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/LocalNotice.java
@@ -32,7 +32,7 @@
 
     private final Clock clock;
     private double maxRequestsPerS = InstanceNotice.UNLIMITED;
-    private boolean leaving;
+    private volatile boolean leaving;
     /** Zero while nothing was said that other nodes have to know. */
     private long version;
 
@@ -53,6 +53,15 @@
         return rateLimit;
     }
 
+    long incarnation() {
+        return incarnation;
+    }
+
+    /** Returns whether the instance has said that it is leaving. */
+    boolean isLeaving() {
+        return leaving;
+    }
+
     /** Returns the notice to send to other nodes, or null while there is nothing to say. */
     synchronized @Nullable InstanceNotice current() {
         return version == 0 ? null : content(version);
