Let the first founder form the group after a restart

Cause: only the first founder may form the control group, and only while its settings say that the deployment starts for the first time.

Change: the permission is stored and synced with the identity of the data folder, so that it outlives a restart, but not the loss of the folder: a host that lost its disk cannot know whether there was a group.

Result: OpenGroupTest.firstFounderThatWasKilledBeforeItFormedTheGroup- FormsItAfterwards failed before (no group within 20 s) and passes; firstFounderThatLostItsDiskFormsNoGroup passed before, too.

--- a/sequoianotch-control/src/main/java/org/sequoianotch/control/ControlGroup.java
+++ b/sequoianotch-control/src/main/java/org/sequoianotch/control/ControlGroup.java
@@ -147,7 +147,10 @@
                     store.lastIndex(),
                     raft.status().members().members().size());
             return new RunningMember(
-                    store, raft, tasks, new MemberAdmission(options, directory, raft, requester, clock));
+                    store,
+                    raft,
+                    tasks,
+                    new MemberAdmission(options, directory, raft, store.mayFormGroup(), requester, clock));
         } catch (StorageException e) {
             folder.close();
             throw e;
@@ -160,7 +163,7 @@
     private MemberStore openStore(StorageFolder folder) {
         String newMemberId = options.host().name() + "." + UUID.randomUUID();
         try {
-            return MemberStore.open(folder, newMemberId);
+            return MemberStore.open(folder, newMemberId, options.formation().formationAllowed());
         } catch (StorageException e) {
             if (!e.isCorruption() || !options.formation().discardsCorruptFolder()) {
                 throw e;
--- a/sequoianotch-control/src/main/java/org/sequoianotch/control/GroupFormation.java
+++ b/sequoianotch-control/src/main/java/org/sequoianotch/control/GroupFormation.java
@@ -10,8 +10,8 @@
  * <p>This type is immutable.
  *
  * @param founderAddresses peer addresses of the initial members, the one that forms the group first; not empty
- * @param formationAllowed whether this host may form a group; false once the deployment has had one, so that a host
- *     that lost its disk does not form a second group
+ * @param formationAllowed whether a host with an empty data folder may form a group; false once the deployment has had
+ *     one, so that a host that lost its disk does not form a second group
  * @param removeUnresponsiveAfterMs time without a reply after which a member is removed, in milliseconds; zero for
  *     never
  * @param minVoters minimum number of voters that automatic removals leave; positive
--- a/sequoianotch-control/src/main/java/org/sequoianotch/control/MemberAdmission.java
+++ b/sequoianotch-control/src/main/java/org/sequoianotch/control/MemberAdmission.java
@@ -33,7 +33,8 @@
  * Forms the group, and adds and removes members.
  *
  * <p>The first founder, which has the lowest host id or address, forms a new group once every founder has responded
- * that it belongs to no group and has the same list of founders. A host with an empty data folder that finds a group
+ * that it belongs to no group and has the same list of founders. Its permission is stored with its identity, so that a
+ * restart before the group is formed does not lose it. A host with an empty data folder that finds a group
  * requests admission; {@link MemberChangePolicy} decides when it becomes a voter, and in whose place.
  *
  * <p>This class is thread-safe.
@@ -45,6 +46,7 @@
     private final ControlGroupOptions options;
     private final ControlDirectory directory;
     private final RaftMember raft;
+    private final boolean mayFormGroup;
     private final PeerRequester requester;
     private final Clock clock;
     private final MemberChangePolicy policy;
@@ -54,11 +56,13 @@
             ControlGroupOptions options,
             ControlDirectory directory,
             RaftMember raft,
+            boolean mayFormGroup,
             PeerRequester requester,
             Clock clock) {
         this.options = options;
         this.directory = directory;
         this.raft = raft;
+        this.mayFormGroup = mayFormGroup;
         this.requester = requester;
         this.clock = clock;
         this.policy = options.formation().memberChangePolicy(options.settings());
@@ -108,7 +112,7 @@
         boolean first = founders.getFirst().equals(options.ownAddress());
         boolean complete = founders.stream()
                 .allMatch(address -> address.equals(options.ownAddress()) || responses.containsKey(address));
-        return options.formation().formationAllowed()
+        return (mayFormGroup || options.formation().formationAllowed())
                 && first
                 && complete
                 && founders.stream()
--- a/sequoianotch-control/src/main/java/org/sequoianotch/control/log/MemberStore.java
+++ b/sequoianotch-control/src/main/java/org/sequoianotch/control/log/MemberStore.java
@@ -24,11 +24,13 @@
     private static final String VOTE_FILE = "vote";
     private static final String LOG_FILE = "log";
     private static final String SNAPSHOT_FILE = "snapshot";
+    private static final long MAY_FORM_GROUP = 1;
 
     private final StorageFolder folder;
     private final List<LogEntry> entries = new ArrayList<>();
     private final List<Long> offsets = new ArrayList<>();
     private String memberId = "";
+    private boolean mayFormGroup;
     private long logBytes;
     private long term;
     private String votedFor = "";
@@ -39,7 +41,7 @@
     }
 
     /**
-     * Opens the store, or creates it with a new identity if the folder is empty.
+     * Opens the store, or creates it with a new identity that may not form a group if the folder is empty.
      *
      * @param folder the folder; not null
      * @param newMemberId identity to use if the folder is empty; not null
@@ -47,11 +49,24 @@
      * @throws StorageException if a file is corrupt or missing
      */
     public static MemberStore open(StorageFolder folder, String newMemberId) {
+        return open(folder, newMemberId, false);
+    }
+
+    /**
+     * Opens the store, or creates it with a new identity if the folder is empty.
+     *
+     * @param folder the folder; not null
+     * @param newMemberId identity to use if the folder is empty; not null
+     * @param newMayFormGroup whether a new identity may form a group, because there has been none yet
+     * @return the open store, never null
+     * @throws StorageException if a file is corrupt or missing
+     */
+    public static MemberStore open(StorageFolder folder, String newMemberId, boolean newMayFormGroup) {
         MemberStore store = new MemberStore(folder);
         store.readSnapshot();
         store.readVote();
         store.readLog();
-        store.readMemberId(newMemberId);
+        store.readIdentity(newMemberId, newMayFormGroup);
         return store;
     }
 
@@ -156,11 +171,13 @@
         rewriteLog();
     }
 
-    private void readMemberId(String newMemberId) {
+    private void readIdentity(String newMemberId, boolean newMayFormGroup) {
         Optional<byte[]> content = folder.read(MEMBER_FILE);
         if (content.isPresent()) {
             Decoder decoder = new Decoder(RecordFrame.readSingle(path(MEMBER_FILE), content.get()));
             memberId = decode(MEMBER_FILE, 0, decoder::text);
+            // Earlier versions stored no permission.
+            mayFormGroup = decoder.hasNext() && decode(MEMBER_FILE, 0, decoder::number) == MAY_FORM_GROUP;
             for (String name : List.of(VOTE_FILE, LOG_FILE)) {
                 if (folder.read(name).isEmpty()) {
                     throw StorageException.corrupt(
@@ -179,9 +196,10 @@
         // The identity is written last, so that a folder with an identity is complete.
         saveVote(0, "");
         rewriteLog();
-        folder.replace(
-                MEMBER_FILE, RecordFrame.frame(new Encoder().text(newMemberId).toBytes()));
+        Encoder identity = new Encoder().text(newMemberId).number(newMayFormGroup ? MAY_FORM_GROUP : 0);
+        folder.replace(MEMBER_FILE, RecordFrame.frame(identity.toBytes()));
         memberId = newMemberId;
+        mayFormGroup = newMayFormGroup;
     }
 
     /**
@@ -193,6 +211,16 @@
         return memberId;
     }
 
+    /**
+     * Returns whether this identity was created with the permission to form a group. It outlives a restart, unlike the
+     * setting, but not the loss of the folder.
+     *
+     * @return true if the folder was created when there had been no group yet
+     */
+    public boolean mayFormGroup() {
+        return mayFormGroup;
+    }
+
     /**
      * Returns the current term.
      *
--- a/sequoianotch-control/src/test/java/org/sequoianotch/control/OpenGroupTest.java
+++ b/sequoianotch-control/src/test/java/org/sequoianotch/control/OpenGroupTest.java
@@ -123,9 +123,7 @@
         assertThat(ControlHosts.applyWithRetries(() -> group("host-1").apply(change("c1", 0, 9))))
                 .isEqualTo(new Accepted(9));
         stop("host-0");
-        for (String file : List.of("log", "vote", "member", "snapshot", "lock")) {
-            Files.deleteIfExists(folder.resolve("host-0").resolve(file));
-        }
+        loseDisk("host-0");
 
         start("host-0", false);
 
@@ -135,6 +133,38 @@
         assertThat(group("host-0").read().get().revision()).isEqualTo(9);
     }
 
+    private void loseDisk(String name) throws IOException {
+        for (String file : List.of("log", "vote", "member", "snapshot", "lock")) {
+            Files.deleteIfExists(folder.resolve(name).resolve(file));
+        }
+    }
+
+    /** Its second start is not the first one of the deployment, so nobody was left who could form the group. */
+    @Test
+    void firstFounderThatWasKilledBeforeItFormedTheGroupFormsItAfterwards() {
+        start("host-0", true);
+        stop("host-0");
+        start("host-1", true);
+        start("host-2", true);
+        start("host-0", false);
+
+        ControlHosts.await("three voters", () -> voterCount() == 3);
+    }
+
+    /** A founder that has lost its disk cannot know whether there was a group. */
+    @Test
+    void firstFounderThatLostItsDiskFormsNoGroup() throws IOException, InterruptedException {
+        start("host-0", true);
+        stop("host-0");
+        loseDisk("host-0");
+        start("host-1", true);
+        start("host-2", true);
+        start("host-0", false);
+
+        Thread.sleep(10 * ELECTION_TIMEOUT_MS);
+        assertThat(voterCount()).isEqualTo(0);
+    }
+
     /** A corrupt data folder is treated like a lost disk; the host must rejoin without an operator. */
     @Test
     void hostWithACorruptFolderRejoinsUnderANewIdentity() throws IOException {
