Accept the first entry only once the group bears the losses it is to bear

Cause: a new control group starts with the founders as its only voters and accepted changes at once; further control hosts were admitted half a second later.

Change: until the first configuration is committed, a group that discovers its hosts refuses changes and departures, unless it has 2f + 1 voters. The refusal is one that operators and nodes repeat. A group that finds no further hosts accepts entries after 10 s, with a warning in its log.

--- a/sequoianotch-control/src/main/java/org/sequoianotch/control/ControlGroup.java
+++ b/sequoianotch-control/src/main/java/org/sequoianotch/control/ControlGroup.java
@@ -60,6 +60,8 @@
     private static final long MAX_FETCH_WAIT_MS = 30_000;
 
     private static final long LISTENER_WAIT_MS = 1_000;
+    /** Further control hosts of a new deployment are admitted within seconds, if there are any. */
+    private static final long MAX_INCOMPLETE_MS = 10_000;
 
     private final ControlGroupOptions options;
     private final PeerRequester requester;
@@ -75,6 +77,8 @@
     private volatile @Nullable RunningMember running;
     /** Time of the last contact with the group. Written by the formation task after the start. */
     private volatile double contactAtMs;
+    /** Written by the start before any request is handled. */
+    private volatile double startedAtMs;
     /** Highest revision that the listeners were notified of. Written by the listener task after the start. */
     private volatile long notifiedRevision;
 
@@ -124,8 +128,9 @@
         if (running != null) {
             throw new IllegalStateException("the control group member is already started");
         }
+        startedAtMs = clock.monotonicMs();
         running = open();
-        contactAtMs = clock.monotonicMs();
+        contactAtMs = startedAtMs;
         notifiedRevision = 0;
         startLoop("control-tick", this::tick);
         startLoop("control-formation", this::updateMembership);
@@ -316,7 +321,34 @@
         return Optional.of(new ChangeResult.Refused(ControlError.INVALID_TEMPLATE, revision(), detail, List.of()));
     }
 
+    /**
+     * Refuses the first entries of a new group while it has fewer voters than it needs to bear the losses that it is to
+     * bear. With the founders as its only voters, an acknowledged entry could be lost together with the group. A group
+     * that finds no further control hosts accepts entries after a while.
+     */
+    private Optional<Failure> refusalWhileIncomplete() {
+        GroupFormation formation = options.formation();
+        int voters = raft().status().members().members().size();
+        if (!formation.isOpen() || voters >= formation.minVoters() || revision() > 0) {
+            return Optional.empty();
+        }
+        if (clock.monotonicMs() - startedAtMs > MAX_INCOMPLETE_MS) {
+            LOGGER.warn(
+                    "[control] The first entry is accepted with {} voters, though {} are needed to bear the losses that"
+                            + " the deployment is to bear.",
+                    voters,
+                    formation.minVoters());
+            return Optional.empty();
+        }
+        return Optional.of(ControlError.NO_LEADER.failure("The new group has " + voters + " of the "
+                + formation.minVoters() + " voters that it needs before it accepts entries."));
+    }
+
     private Either<Failure, byte[]> applyHere(ChangeRequest request) {
+        Optional<Failure> refusal = refusalWhileIncomplete();
+        if (refusal.isPresent()) {
+            return Either.left(refusal.get());
+        }
         return ProposalResults.await(
                 raft().propose(EntryKind.CHANGE, () -> state.check(request)
                         .<Either<byte[], byte[]>>map(result -> Either.left(result.toBytes()))
@@ -354,6 +386,10 @@
 
     /** Records a departure as the leader; a departure that is already recorded needs no entry. */
     private Either<Failure, byte[]> recordDepartureHere(HostId host, Departure departure) {
+        Optional<Failure> refusal = refusalWhileIncomplete();
+        if (refusal.isPresent()) {
+            return Either.left(refusal.get());
+        }
         DepartureRecords departures = replicated.departures();
         return ProposalResults.await(
                 raft().propose(
--- a/sequoianotch-control/src/test/java/org/sequoianotch/control/OpenGroupTest.java
+++ b/sequoianotch-control/src/test/java/org/sequoianotch/control/OpenGroupTest.java
@@ -37,6 +37,7 @@
     private final LocalNetwork network = new LocalNetwork();
     private final SortedMap<HostId, String> knownHosts = new ConcurrentSkipListMap<>();
     private final SortedMap<HostId, ControlGroup> groups = new TreeMap<>();
+    private int minVoters = 3;
 
     @TempDir
     private Path folder;
@@ -54,7 +55,7 @@
                 1_000,
                 5_000,
                 GroupFormation.open(
-                        List.of("host-2", "host-0", "host-1"), firstStart, REMOVE_UNRESPONSIVE_AFTER_MS, 3));
+                        List.of("host-2", "host-0", "host-1"), firstStart, REMOVE_UNRESPONSIVE_AFTER_MS, minVoters));
         ControlGroup group = new ControlGroup(
                 options,
                 () -> knownHosts,
@@ -139,6 +140,29 @@
         }
     }
 
+    /** With three of five voters, a change was acknowledged that two lost disks took away, and the group with it. */
+    @Test
+    void firstAcknowledgedChangeOutlivesTheLossesThatTheGroupIsToBear() throws IOException {
+        minVoters = 5;
+        List.of("host-0", "host-1", "host-2").forEach(name -> start(name, true));
+        ControlHosts.await("three voters", () -> voterCount() == 3);
+        assertThat(group("host-0").apply(change("c1", 0, 4)).isLeft()).isTrue();
+
+        List.of("host-3", "host-4", "host-5").forEach(name -> start(name, true));
+        assertThat(ControlHosts.applyWithRetries(() -> group("host-0").apply(change("c1", 0, 4))))
+                .isEqualTo(new Accepted(4));
+        for (String lost : List.of("host-0", "host-1")) {
+            stop(lost);
+            loseDisk(lost);
+        }
+        List.of("host-0", "host-1").forEach(name -> start(name, false));
+
+        for (String name : List.of("host-0", "host-2", "host-4")) {
+            ControlHosts.await("a read at " + name, () -> group(name).read().isRight());
+            assertThat(group(name).read().get().revision()).isEqualTo(4);
+        }
+    }
+
     /** Its second start is not the first one of the deployment, so nobody was left who could form the group. */
     @Test
     void firstFounderThatWasKilledBeforeItFormedTheGroupFormsItAfterwards() {
