Charge the calls of repeated runs to the retry budget

Cause: a run that is repeated makes its calls again. Each of them counted as a first attempt, which raises the budget of the service that is called, though it is a repeat for that service.

Change: a call says whether an earlier attempt has reached an instance, or whether it is made by a run that was repeated itself. The first attempt of a call that a repeated run makes uses up the budget in place of raising it. It is sent all the same, because the run fails without it. A call that only nodes have refused is no repeat.

--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/AttemptRunner.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/AttemptRunner.java
@@ -52,14 +52,14 @@
         this.clock = clock;
     }
 
-    /** Makes one attempt. On success, the response has arrived completely or its buffer is full. */
+    /** Makes one attempt; {@code repeated} tells whether an earlier one has reached an instance. On success, the response has arrived completely or its buffer is full. */
     Either<Failure, IncomingResponse> run(
-            OutboundCall outbound, RequestContext context, Instance instance, ReplayableBody body)
+            OutboundCall outbound, RequestContext context, Instance instance, ReplayableBody body, boolean repeated)
             throws InterruptedException {
         double startedAtMs = clock.monotonicMs();
         RemainingTime time = new RemainingTime(context, clock);
         Attempt attempt = policies.selector(outbound.limits()).start(instance);
-        Either<Failure, PeerCall> opened = open(outbound, context, instance);
+        Either<Failure, PeerCall> opened = open(outbound, context, instance, repeated);
         if (opened.isLeft()) {
             attempt.finish(AttemptResult.UNREACHABLE, clock.monotonicMs() - startedAtMs, null);
             return Either.left(opened.getLeft());
@@ -85,7 +85,8 @@
         return context.cancellation().map(Cancellation::detail).orElse("The request was cancelled.");
     }
 
-    private Either<Failure, PeerCall> open(OutboundCall outbound, RequestContext context, Instance instance) {
+    private Either<Failure, PeerCall> open(
+            OutboundCall outbound, RequestContext context, Instance instance, boolean repeated) {
         CallHeader header = new CallHeader(
                 context.requestId(),
                 outbound.service(),
@@ -99,6 +100,7 @@
                 context.depth(),
                 outbound.key(),
                 outbound.bodyBytes(),
+                repeated || context.isRepeatedRun(),
                 notices.find(instance.host(), outbound.service()));
         Either<Failure, PeerCall> opened = instance.host().equals(location.host())
                 ? Either.right(LocalCall.open(header, location.host(), localHandler))
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/CallForwarder.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/CallForwarder.java
@@ -14,6 +14,7 @@
 import org.sequoianotch.model.HostId;
 import org.sequoianotch.model.Instance;
 import org.sequoianotch.policy.retry.FailedAttempt;
+import org.sequoianotch.policy.retry.RetryPolicy;
 import org.sequoianotch.policy.routing.RoutingRequest;
 import org.sequoianotch.protocol.ResponseTrailer;
 import org.sequoianotch.time.Clock;
@@ -55,6 +56,8 @@
     private static final class AttemptHistory {
         private final Set<HostId> triedHosts = new HashSet<>();
         private int attempts;
+        /** Whether an attempt has reached an instance, so that a later one is a repeat for the service. */
+        private boolean reachedInstance;
         /** The first failure after which the call may have run. A refusal of a later attempt does not disprove it. */
         private @Nullable Failure firstInDoubt;
 
@@ -68,6 +71,7 @@
         }
 
         void addFailure(Failure failure) {
+            reachedInstance |= failure.kind() == ErrorKind.INSTANCE_REFUSED || !failure.provesNotRun();
             if (firstInDoubt == null && !failure.provesNotRun()) {
                 firstInDoubt = failure;
             }
@@ -82,7 +86,7 @@
         if (refusal.isPresent()) {
             return new ForwardResult(Either.left(refusal.get()), 0);
         }
-        policies.retryPolicy(outbound.limits()).onFirstAttempt(context.criticality());
+        countFirstAttempt(outbound, context);
         while (true) {
             Either<Failure, Instance> selected = selectInstance(outbound, context, history);
             if (selected.isLeft()) {
@@ -92,7 +96,8 @@
             history.triedHosts.add(instance.host());
             history.attempts++;
             attempts.recordSent(outbound, context, instance, history.attempts);
-            Either<Failure, IncomingResponse> response = attempts.run(outbound, context, instance, body);
+            Either<Failure, IncomingResponse> response =
+                    attempts.run(outbound, context, instance, body, history.reachedInstance);
             Optional<Failure> failure = failureOf(response);
             if (failure.isEmpty()) {
                 return new ForwardResult(response, history.attempts);
@@ -108,6 +113,15 @@
         }
     }
 
+    private void countFirstAttempt(OutboundCall outbound, RequestContext context) {
+        RetryPolicy policy = policies.retryPolicy(outbound.limits());
+        if (context.isRepeatedRun()) {
+            policy.onFirstAttemptOfRepeatedRun(context.criticality());
+        } else {
+            policy.onFirstAttempt(context.criticality());
+        }
+    }
+
     private Optional<Failure> checkEntry(OutboundCall outbound, RequestContext context) {
         // Calls further down the chain are not refused here, because other services have already done work for them.
         if (context.depth() > 0) {
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/InstanceServer.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/InstanceServer.java
@@ -20,7 +20,6 @@
 import org.sequoianotch.policy.admission.CallResult;
 import org.sequoianotch.policy.admission.PendingAdmission;
 import org.sequoianotch.policy.admission.Permit;
-import org.sequoianotch.policy.retry.RetryAllowance;
 import org.sequoianotch.protocol.CallHeader;
 import org.sequoianotch.protocol.ResponseHeader;
 import org.sequoianotch.protocol.ResponseTrailer;
@@ -82,13 +81,8 @@
     @Override
     public void handle(IncomingCall call) {
         CallHeader header = call.header();
-        RequestContext context = new RequestContext(
-                header.requestId(),
-                header.criticality(),
-                header.depth() + 1,
-                clock.monotonicMs() + header.timeLeftMs(),
-                targetAtMs(header),
-                RetryAllowance.of(header.retryShare()));
+        RequestContext context =
+                RequestContext.ofRun(header, clock.monotonicMs() + header.timeLeftMs(), targetAtMs(header));
         Timeout deadline = timer.newTimeout(
                 timeout -> context.cancel(
                         new Cancellation(CancelCause.TIME_LIMIT_PASSED, "The deadline passed at the instance's node.")),
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/RequestContext.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/RequestContext.java
@@ -30,6 +30,8 @@
     private final double deadlineAtMs;
     private final double targetAtMs;
     private final RetryAllowance allowance;
+    /** Whether the run to which calls from this context belong was made before. */
+    private final boolean repeatedRun;
     /** The call that the backend server was serving when it made the sub-call of this context. */
     private final @Nullable RequestContext parent;
 
@@ -57,7 +59,20 @@
             double deadlineAtMs,
             double targetAtMs,
             RetryAllowance allowance) {
-        this(requestId, criticality, depth, deadlineAtMs, targetAtMs, allowance, null);
+        this(requestId, criticality, depth, deadlineAtMs, targetAtMs, allowance, false, null);
+    }
+
+    /** Creates the context of the calls that a run at an instance makes. */
+    static RequestContext ofRun(CallHeader call, double deadlineAtMs, double targetAtMs) {
+        return new RequestContext(
+                call.requestId(),
+                call.criticality(),
+                call.depth() + 1,
+                deadlineAtMs,
+                targetAtMs,
+                RetryAllowance.of(call.retryShare()),
+                call.repeated(),
+                null);
     }
 
     private RequestContext(
@@ -67,6 +82,7 @@
             double deadlineAtMs,
             double targetAtMs,
             RetryAllowance allowance,
+            boolean repeatedRun,
             @Nullable RequestContext parent) {
         this.requestId = requestId;
         this.criticality = criticality;
@@ -74,6 +90,7 @@
         this.deadlineAtMs = deadlineAtMs;
         this.targetAtMs = targetAtMs;
         this.allowance = allowance;
+        this.repeatedRun = repeatedRun;
         this.parent = parent;
     }
 
@@ -93,7 +110,7 @@
      */
     RequestContext newSubRequest(RequestId ownId, double ownDeadlineAtMs, RetryAllowance ownAllowance) {
         RequestContext context = new RequestContext(
-                ownId, criticality, depth, ownDeadlineAtMs, Double.POSITIVE_INFINITY, ownAllowance, this);
+                ownId, criticality, depth, ownDeadlineAtMs, Double.POSITIVE_INFINITY, ownAllowance, repeatedRun, this);
         onCancel(context.cancelWithParent);
         return context;
     }
@@ -139,6 +156,11 @@
         return depth;
     }
 
+    /** Returns whether the run that makes the calls of this context was made before. */
+    boolean isRepeatedRun() {
+        return repeatedRun;
+    }
+
     /**
      * Returns the deadline.
      *
--- a/sequoianotch-policy/src/main/java/org/sequoianotch/policy/naive/NaiveRetryPolicy.java
+++ b/sequoianotch-policy/src/main/java/org/sequoianotch/policy/naive/NaiveRetryPolicy.java
@@ -21,6 +21,11 @@
         // There is no budget.
     }
 
+    @Override
+    public void onFirstAttemptOfRepeatedRun(Criticality criticality) {
+        // There is no budget.
+    }
+
     @Override
     public boolean mayRetry(FailedAttempt failedAttempt, RetryAllowance allowance) {
         return failedAttempt.attempts() <= RETRIES;
--- a/sequoianotch-policy/src/main/java/org/sequoianotch/policy/retry/ProtectiveRetryPolicy.java
+++ b/sequoianotch-policy/src/main/java/org/sequoianotch/policy/retry/ProtectiveRetryPolicy.java
@@ -30,6 +30,12 @@
         budget.onFirstAttempt();
     }
 
+    @Override
+    public void onFirstAttemptOfRepeatedRun(Criticality criticality) {
+        // The allowance of a request bounds the retries of its whole chain.
+        budget.onFirstAttempt();
+    }
+
     @Override
     public boolean mayRetry(FailedAttempt failedAttempt, RetryAllowance allowance) {
         boolean repeatable = failedAttempt.repeat().isRepeatableInDoubt()
--- a/sequoianotch-policy/src/main/java/org/sequoianotch/policy/retry/RedirectRetryPolicy.java
+++ b/sequoianotch-policy/src/main/java/org/sequoianotch/policy/retry/RedirectRetryPolicy.java
@@ -8,8 +8,9 @@
 /**
  * Retry policy that charges only calls which reached an instance to the retry budget.
  *
- * <p>A call that was refused before it reached an instance is redirected to another one, up to three times. This class
- * is thread-safe.
+ * <p>A call that was refused before it reached an instance is redirected to another one, up to three times. The calls
+ * of a repeated run use up the budget, but are always sent, because the run fails without them. This class is
+ * thread-safe.
  */
 public final class RedirectRetryPolicy implements RetryPolicy {
     /** After so many refusals in a row the service as a whole has no capacity, and further redirects add latency. */
@@ -35,6 +36,13 @@
         }
     }
 
+    @Override
+    public void onFirstAttemptOfRepeatedRun(Criticality criticality) {
+        synchronized (budget) {
+            budget.take(criticality);
+        }
+    }
+
     @Override
     public boolean mayRetry(FailedAttempt failedAttempt, RetryAllowance allowance) {
         ErrorKind kind = failedAttempt.failure().kind();
--- a/sequoianotch-policy/src/main/java/org/sequoianotch/policy/retry/RetryPolicy.java
+++ b/sequoianotch-policy/src/main/java/org/sequoianotch/policy/retry/RetryPolicy.java
@@ -11,6 +11,14 @@
      */
     void onFirstAttempt(Criticality criticality);
 
+    /**
+     * Counts the first attempt of a call that a repeated run makes. The run made the same call before, so that it is a
+     * repeat for the service that is called.
+     *
+     * @param criticality importance of the call; not null
+     */
+    void onFirstAttemptOfRepeatedRun(Criticality criticality);
+
     /**
      * Decides whether the call may be retried and, if so, charges the retry to the allowance and the budget as far as
      * the policy requires it.
--- a/sequoianotch-policy/src/test/java/org/sequoianotch/policy/retry/RedirectRetryPolicyTest.java
+++ b/sequoianotch-policy/src/test/java/org/sequoianotch/policy/retry/RedirectRetryPolicyTest.java
@@ -46,6 +46,22 @@
         assertThat(mayRetry(kind, RepeatRule.NEVER, 4)).isFalse();
     }
 
+    /** Repeated runs made their calls as first attempts, and the service below got more repeats than the budget. */
+    @Test
+    void callsOfRepeatedRunsUseUpTheBudget() {
+        for (int i = 0; i < 100; i++) {
+            policy.onFirstAttempt(Criticality.STANDARD);
+        }
+        // 80% of a fifth of 100 calls and of an equal part of the constant.
+        int budget = (int) (0.8 * (20 + 47.0 / 24));
+        for (int i = 0; i < budget - 2; i++) {
+            policy.onFirstAttemptOfRepeatedRun(Criticality.STANDARD);
+        }
+        assertThat(mayRetry(ErrorKind.CONNECTION_LOST, RepeatRule.SAFE, 1)).isTrue();
+        assertThat(mayRetry(ErrorKind.CONNECTION_LOST, RepeatRule.SAFE, 1)).isTrue();
+        assertThat(mayRetry(ErrorKind.CONNECTION_LOST, RepeatRule.SAFE, 1)).isFalse();
+    }
+
     @Test
     void idleNodeDoesNotAccumulateRetries() {
         assertThat(mayRetry(ErrorKind.CONNECTION_LOST, RepeatRule.SAFE, 1)).isTrue();
--- a/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/CallHeader.java
+++ b/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/CallHeader.java
@@ -27,6 +27,7 @@
  * @param depth number of calls above this one in the call chain; zero for the call of the entry node
  * @param idempotencyKey the idempotency key, or null if there is none
  * @param bodyBytes length of the body in bytes, or {@link #LENGTH_UNKNOWN}
+ * @param repeated whether the call has reached an instance before, or is made by a run that was repeated itself
  * @param notice what the sending node remembers of the called instance, or null if that is nothing
  */
 public record CallHeader(
@@ -42,6 +43,7 @@
         int depth,
         @Nullable String idempotencyKey,
         long bodyBytes,
+        boolean repeated,
         @Nullable InstanceNotice notice) {
     /** Value of {@code bodyBytes} for a body whose length is not known in advance. */
     public static final long LENGTH_UNKNOWN = -1;
@@ -70,7 +72,7 @@
     }
 
     /**
-     * Creates the head of a call to an instance of which nothing is remembered.
+     * Creates the head of a call that is not repeated, to an instance of which nothing is remembered.
      *
      * @param requestId the caller's request that the call belongs to; not null
      * @param service the called service; not null
@@ -111,6 +113,7 @@
                 depth,
                 idempotencyKey,
                 bodyBytes,
+                false,
                 null);
     }
 
--- a/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/FrameReader.java
+++ b/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/FrameReader.java
@@ -122,6 +122,7 @@
                 unpacker.unpackInt(),
                 unpacker.getNextFormat() == MessageFormat.NIL ? readNil() : unpacker.unpackString(),
                 unpacker.unpackLong(),
+                unpacker.unpackBoolean(),
                 readNotice());
     }
 
--- a/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/FrameType.java
+++ b/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/FrameType.java
@@ -5,7 +5,7 @@
     HELLO(4),
     CHALLENGE(5),
     PROOF(1),
-    CALL_START(14),
+    CALL_START(15),
     BODY(2),
     BODY_END(1),
     RESPONSE_START(5),
--- a/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/FrameWriter.java
+++ b/sequoianotch-protocol/src/main/java/org/sequoianotch/protocol/FrameWriter.java
@@ -90,7 +90,7 @@
         } else {
             packer.packString(header.idempotencyKey());
         }
-        packer.packLong(header.bodyBytes());
+        packer.packLong(header.bodyBytes()).packBoolean(header.repeated());
         writeNotice(header.notice());
     }
 
--- a/sequoianotch-protocol/src/test/java/org/sequoianotch/protocol/FrameCodecTest.java
+++ b/sequoianotch-protocol/src/test/java/org/sequoianotch/protocol/FrameCodecTest.java
@@ -206,6 +206,7 @@
                         count,
                         keyAndNotice.key(),
                         length,
+                        count % 2 == 0,
                         keyAndNotice.notice()));
         Arbitrary<ResponseHeader> responses = Combinators.combine(
                         Arbitraries.integers().between(200, 599), headers, lengths, notices)
