Let the next founder form the group if the first one has an empty disk

Cause: a kill of the first founder before its identity is stored leaves an empty disk and no permission to form the group.

Change: the first founder whose data folder was created at the first start forms the group, if a majority of the founders have such folders, all of them have responded, and none belongs to a group. An earlier group would have needed that majority to commit anything.

--- a/sequoianotch-control/src/main/java/org/sequoianotch/control/ControlRequest.java
+++ b/sequoianotch-control/src/main/java/org/sequoianotch/control/ControlRequest.java
@@ -59,14 +59,22 @@
     /** Reads the recorded departures of the instances on a host; {@code mayForward} as for {@link Change}. */
     record ReadDepartures(boolean mayForward, HostId host) implements ControlRequest {}
 
-    /** Response to {@link Hello}. */
-    record HelloResponse(Member member, boolean formed, String founders) {
+    /**
+     * Response to {@link Hello}.
+     *
+     * @param member the host's member; not null
+     * @param formed whether it belongs to a group
+     * @param mayForm whether its data folder is as old as the deployment, so that it would know of a group
+     * @param founders the founders that its settings name; not null
+     */
+    record HelloResponse(Member member, boolean formed, boolean mayForm, String founders) {
         byte[] toBytes() {
             return new Encoder()
                     .text(member.id())
                     .text(member.host().name())
                     .text(member.address())
                     .flag(formed)
+                    .flag(mayForm)
                     .text(founders)
                     .toBytes();
         }
@@ -74,7 +82,7 @@
         static HelloResponse of(byte[] bytes) {
             Decoder decoder = new Decoder(bytes);
             Member member = new Member(decoder.text(), HostId.of(decoder.text()), decoder.text());
-            return new HelloResponse(member, decoder.flag(), decoder.text());
+            return new HelloResponse(member, decoder.flag(), decoder.flag(), decoder.text());
         }
     }
 
--- a/sequoianotch-control/src/main/java/org/sequoianotch/control/MemberAdmission.java
+++ b/sequoianotch-control/src/main/java/org/sequoianotch/control/MemberAdmission.java
@@ -32,10 +32,13 @@
 /**
  * Forms the group, and adds and removes members.
  *
- * <p>The first founder, which has the lowest host id or address, forms a new group once every founder has responded
- * that it belongs to no group and has the same list of founders. Its permission is stored with its identity, so that a
- * restart before the group is formed does not lose it. A host with an empty data folder that finds a group
- * requests admission; {@link MemberChangePolicy} decides when it becomes a voter, and in whose place.
+ * <p>A founder may form a group if its data folder was created at the first start of the deployment and belongs to no
+ * group. The first such founder by host id or address forms the group, once every founder has responded with the same
+ * list of founders, none of them belongs to a group, and a majority of them may form one. Each earlier group would have
+ * needed that majority to commit anything, and its members would know of it.
+ *
+ * <p>A host with an empty data folder that finds a group requests admission; {@link MemberChangePolicy} decides when it
+ * becomes a voter, and in whose place.
  *
  * <p>This class is thread-safe.
  */
@@ -70,7 +73,10 @@
 
     HelloResponse helloResponse() {
         return new HelloResponse(
-                self(), raft.isFormed(), options.formation().founderAddresses().toString());
+                self(),
+                raft.isFormed(),
+                mayFormGroup,
+                options.formation().founderAddresses().toString());
     }
 
     private Member self() {
@@ -109,15 +115,21 @@
 
     private boolean mayForm(Map<String, HelloResponse> responses) {
         List<String> founders = options.formation().founderAddresses();
-        boolean first = founders.getFirst().equals(options.ownAddress());
-        boolean complete = founders.stream()
-                .allMatch(address -> address.equals(options.ownAddress()) || responses.containsKey(address));
-        return (mayFormGroup || options.formation().formationAllowed())
-                && first
-                && complete
-                && founders.stream()
-                        .filter(responses::containsKey)
-                        .allMatch(address -> responses.get(address).founders().equals(founders.toString()));
+        int permitted = 0;
+        for (String address : founders) {
+            boolean isSelf = address.equals(options.ownAddress());
+            HelloResponse response = responses.get(address);
+            if (!isSelf && (response == null || !response.founders().equals(founders.toString()))) {
+                return false;
+            }
+            boolean mayForm = isSelf ? mayFormGroup : response.mayForm();
+            if (mayForm && permitted == 0 && !isSelf) {
+                // The first founder that may form the group does.
+                return false;
+            }
+            permitted += mayForm ? 1 : 0;
+        }
+        return mayFormGroup && permitted > founders.size() / 2;
     }
 
     /** Handles a request to join: the leader starts to replicate its log to the new member. */
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/AttemptRunner.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/AttemptRunner.java
@@ -52,7 +52,10 @@
         this.clock = clock;
     }
 
-    /** Makes one attempt; {@code repeated} tells whether an earlier one has reached an instance. On success, the response has arrived completely or its buffer is full. */
+    /**
+     * Makes one attempt; {@code repeated} tells whether an earlier one has reached an instance. On success, the response
+     * has arrived completely or its buffer is full.
+     */
     Either<Failure, IncomingResponse> run(
             OutboundCall outbound, RequestContext context, Instance instance, ReplayableBody body, boolean repeated)
             throws InterruptedException {
