Name the source of a statement only where it is logged

Cause: the text was built for each response of an instance.

Change: it is built when a rate or the leaving changes.

Result: LocalNoticeTest, NamedRateSimulationTest, InstanceNoticeTest, RequestPathTest and SelfTestTest pass.

--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/AttemptRunner.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/AttemptRunner.java
@@ -53,8 +53,8 @@
     }
 
     /**
-     * Makes one attempt; {@code repeated} tells whether an earlier one has reached an instance. On success, the response
-     * has arrived completely or its buffer is full.
+     * Makes one attempt; {@code repeated} tells whether an earlier one has reached an instance. On success, the
+     * response has arrived completely or its buffer is full.
      */
     Either<Failure, IncomingResponse> run(
             OutboundCall outbound, RequestContext context, Instance instance, ReplayableBody body, boolean repeated)
--- a/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/LocalNotice.java
+++ b/sequoianotch-daemon/src/main/java/org/sequoianotch/daemon/call/LocalNotice.java
@@ -2,6 +2,7 @@
 
 import java.util.Locale;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Supplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.jspecify.annotations.Nullable;
@@ -87,7 +88,7 @@
         if (statement.problem() != null) {
             logProblem(statement.problem(), requestId);
         }
-        String source = "the response to request " + requestId;
+        Supplier<String> source = () -> "the response to request " + requestId;
         boolean changed = setRate(statement.maxRequestsPerS().orElse(maxRequestsPerS), source, receivedAtMs);
         changed |= statement.leaving() && setLeaving(source);
         if (changed) {
@@ -105,7 +106,7 @@
         boolean isFromEarlierProcess = known.version() > lastVersion.get();
         lastVersion.accumulateAndGet(known.version(), Math::max);
         if (known.incarnation() == incarnation) {
-            String source = "a call of " + from + ", which remembers it";
+            Supplier<String> source = () -> "a call of " + from + ", which remembers it";
             if (isFromEarlierProcess && !seenResponse) {
                 setRate(known.maxRequestsPerS(), source, clock.monotonicMs());
                 version = known.version();
@@ -121,19 +122,20 @@
         }
     }
 
-    private boolean setRate(double newMaxRequestsPerS, String source, double saidAtMs) {
+    private boolean setRate(double newMaxRequestsPerS, Supplier<String> source, double saidAtMs) {
         if (newMaxRequestsPerS == maxRequestsPerS) {
             return false;
         }
+        String sourceText = source.get();
         LOG.info(
                 "[call] Instance {} takes {} requests per second, before {}; it said so in {}, {} ms ago.",
                 instance,
                 rateText(newMaxRequestsPerS),
                 rateText(maxRequestsPerS),
-                source,
+                sourceText,
                 String.format(Locale.ROOT, "%.1f", clock.monotonicMs() - saidAtMs));
         maxRequestsPerS = newMaxRequestsPerS;
-        rateLimit.set(newMaxRequestsPerS, source);
+        rateLimit.set(newMaxRequestsPerS, sourceText);
         return true;
     }
 
@@ -141,12 +143,12 @@
         return requestsPerS == InstanceNotice.UNLIMITED ? "any number of" : Double.toString(requestsPerS);
     }
 
-    private boolean setLeaving(String source) {
+    private boolean setLeaving(Supplier<String> source) {
         if (leaving) {
             return false;
         }
         leaving = true;
-        LOG.info("[call] Instance {} is leaving; it said so in {}.", instance, source);
+        LOG.info("[call] Instance {} is leaving; it said so in {}.", instance, source.get());
         return true;
     }
 
